--- /dev/null
+++ b/src/core/admission.h
@@ -0,0 +1,32 @@
+/// Decision whether a job is taken, before anything of it starts.
+#pragma once
+
+#include <optional>
+#include <span>
+
+#include "core/messages.h"
+#include "core/run_time_model.h"
+#include "core/service_configuration.h"
+
+namespace quetzalvale {
+
+/// What the entry knows about its load when a job arrives.
+struct LoadView {
+  /// Tasks that wait at this entry, and their summed expected run time at speed 1, counting only
+  /// those at least as urgent as the new job.
+  std::uint32_t queued_tasks = 0;
+  Microseconds queued_work{0};
+  /// Work sent to agents and not settled, at speed 1.
+  Microseconds outstanding_work{0};
+  /// Slots of usable agents, weighted by speed, less those that other entries occupy.
+  double effective_slots = 0;
+  bool has_agents = false;
+};
+
+/// Returns the refusal, or nothing when the job is taken. Checks limits, kinds and teams, tasks
+/// that no worker can ever hold, and whether the job's expected finish meets its deadline.
+std::optional<Error> CheckAdmission(const ServiceConfiguration& configuration,
+                                    const RunTimeModel& model, const LoadView& load,
+                                    const Submission& submission);
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/agent_events.h
@@ -0,0 +1,112 @@
+/// Events that drive AgentCore and the actions that it returns.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/entry_events.h"
+#include "core/messages.h"
+
+namespace quetzalvale {
+
+// ---- Events -------------------------------------------------------------------------------
+
+struct StartReceived {
+  RequestId request = 0;
+  StartRequest message;
+};
+struct WithdrawReceived {
+  RequestId request = 0;
+  WithdrawRequest message;
+};
+struct SealReceived {
+  RequestId request = 0;
+  SealRequest message;
+};
+/// The endpoint answered a task, or the request to it broke.
+struct EndpointFinished {
+  TaskKey task;
+  /// An error means that the connection broke: the task may have run.
+  Result<Outcome> outcome;
+};
+/// The endpoint refused the task before starting it.
+struct EndpointRefused {
+  TaskKey task;
+  std::string reason;
+};
+/// Result of RenewLeases or of a probe of the endpoint.
+struct EndpointChecked {
+  bool up = false;
+};
+/// Result of SendOutcomes.
+struct OutcomesReplied {
+  Incarnation owner;
+  std::vector<TaskKey> tasks;
+  Result<OutcomesReply> reply;
+};
+/// Result of SendAnnounce.
+struct AnnounceReplied {
+  std::string address;
+  Result<AnnounceReply> reply;
+};
+/// The agent fetched this version of its service's configuration.
+struct AgentConfigurationChanged {
+  std::shared_ptr<const ServiceConfiguration> configuration;
+};
+
+using AgentEvent = std::variant<StartReceived, WithdrawReceived, SealReceived, EndpointFinished,
+                                EndpointRefused, EndpointChecked, OutcomesReplied, AnnounceReplied,
+                                AgentConfigurationChanged, LeaveRequested, Tick>;
+
+// ---- Actions ------------------------------------------------------------------------------
+
+struct ReplyStart {
+  RequestId request = 0;
+  StartReply reply;
+};
+struct ReplyWithdraw {
+  RequestId request = 0;
+  WithdrawReply reply;
+};
+struct ReplySeal {
+  RequestId request = 0;
+  SealReply reply;
+};
+/// Send the task to the endpoint, exactly once.
+struct StartOnEndpoint {
+  TaskKey task;
+  std::string kind;
+  std::string payload;
+  Milliseconds lease{0};
+  Milliseconds time_left{0};
+};
+struct StopOnEndpoint {
+  TaskKey task;
+};
+struct RenewLeases {
+  std::vector<TaskKey> tasks;
+  Milliseconds lease{0};
+};
+/// Ask the endpoint whether it is up, without starting anything.
+struct CheckEndpoint {};
+struct SendOutcomes {
+  std::string address;
+  OutcomesRequest message;
+};
+struct SendAnnounce {
+  std::string address;
+  Announce message;
+};
+/// An entry has a newer configuration than this agent.
+struct FetchConfiguration {
+  std::string address;
+  std::uint64_t version = 0;
+};
+
+using AgentAction =
+    std::variant<ReplyStart, ReplyWithdraw, ReplySeal, StartOnEndpoint, StopOnEndpoint, RenewLeases,
+                 CheckEndpoint, SendOutcomes, SendAnnounce, FetchConfiguration, LogEvent, Departed>;
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,47 @@
+/// Choice of the agent that gets a task.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "core/service_configuration.h"
+#include "core/types.h"
+
+namespace quetzalvale {
+
+/// An agent that may take a task now, as the entry sees it.
+struct Candidate {
+  Incarnation agent;
+  std::string_view name;
+  int slots = 0;
+  /// Tasks of this entry that are sent to the agent and not settled.
+  int own_outstanding = 0;
+  /// The agent's last report, less what this entry has sent since.
+  int free_slots = 0;
+  int queued = 0;
+  /// Speed relative to the fleet's mean; 2 means half the run time.
+  double speed = 1;
+  /// Expected time until a task sent now would start there.
+  Microseconds expected_wait{0};
+  bool same_data_centre = true;
+};
+
+/// The task to be placed.
+struct PlacementQuery {
+  /// Expected run time at speed 1.
+  Microseconds expected{0};
+  Microseconds time_left{0};
+};
+
+/// Returns the position of the chosen candidate, or nothing to leave the task waiting at the entry.
+using PlacementHook = std::function<std::optional<std::size_t>(std::span<const Candidate>,
+                                                               const PlacementQuery&, Random&)>;
+
+/// Returns the hook of the configured policy. kDefault picks the earliest expected finish and may
+/// leave a task waiting when a faster busy endpoint is expected to finish it sooner.
+PlacementHook MakePlacement(PlacementPolicy policy);
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/service_configuration.h
@@ -0,0 +1,102 @@
+/// The operators' configuration of one service, as decoded from its JSON document.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/types.h"
+
+namespace quetzalvale {
+
+enum class Objective { kResponseTime, kMessages };
+
+enum class PlacementPolicy { kDefault, kRandom, kRoundRobin, kLeastOutstanding, kPowerOfTwo };
+
+struct KindConfiguration {
+  std::string name;
+  /// Lower is more urgent.
+  int urgency = 0;
+  Milliseconds deadline{10000};
+  /// Prior for the run time until runs have been seen.
+  Milliseconds expected{100};
+};
+
+struct TeamConfiguration {
+  std::string name;
+  /// Quota over all entries together; zero means none.
+  double tasks_per_second = 0;
+};
+
+/// Defaults are those of the JSON schema. Immutable once built; replaced as a whole.
+struct ServiceConfiguration {
+  std::string service;
+  /// Version of the platform's row; zero means not yet known.
+  std::uint64_t version = 0;
+  Objective objective = Objective::kResponseTime;
+  /// Names of the endpoints bound to the service; `*` matches any run of characters.
+  std::vector<std::string> endpoints{"*"};
+  std::vector<KindConfiguration> kinds;
+  std::vector<TeamConfiguration> teams;
+
+  struct WorkerLimits {
+    double cores = 16;
+    std::int64_t memory_mb = 32768;
+    int accelerators = 0;
+  } worker_limits;
+
+  struct Limits {
+    std::uint32_t tasks_per_job = 440;
+    std::uint64_t body_bytes = 1 << 20;
+    std::uint32_t queued_tasks = 20000;
+  } limits;
+
+  PlacementPolicy placement = PlacementPolicy::kDefault;
+
+  struct Batching {
+    Microseconds start_delay{0};
+    Milliseconds outcome_delay{0};
+    std::uint32_t batch_tasks = 64;
+  } batching;
+
+  struct Tickets {
+    std::uint32_t block = 64;
+    std::chrono::seconds valid{600};
+    std::uint32_t answers_kept = 10000;
+    std::chrono::seconds answer_kept{600};
+  } tickets;
+
+  struct Health {
+    Milliseconds heartbeat{1000};
+    Milliseconds agent_lost{3000};
+    Milliseconds agent_dead{10000};
+    std::uint32_t eject_after = 5;
+    Milliseconds probe_after{2000};
+  } health;
+
+  Milliseconds lease{3000};
+  /// Tasks that may wait at an agent beyond its slots.
+  std::uint32_t agent_queue = 2;
+  /// Placements after a proven "not run" per first placement.
+  double retry_share = 0.2;
+  /// Fleets of up to this many agents are taken whole by each entry.
+  std::uint32_t subset_size = 64;
+
+  /// Returns the kind of that name or nullptr.
+  const KindConfiguration* FindKind(std::string_view kind) const {
+    for (const auto& candidate : this->kinds) {
+      if (candidate.name == kind) return &candidate;
+    }
+    return nullptr;
+  }
+
+  /// Returns the team of that name or nullptr.
+  const TeamConfiguration* FindTeam(std::string_view team) const {
+    for (const auto& candidate : this->teams) {
+      if (candidate.name == team) return &candidate;
+    }
+    return nullptr;
+  }
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/types.h
@@ -0,0 +1,90 @@
+/// Identities and value types shared by the entry, the agent and the inner protocol.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+
+namespace quetzalvale {
+
+/// Monotonic time as passed into the decision logic. Never compared between processes.
+using Time = std::chrono::steady_clock::time_point;
+using Milliseconds = std::chrono::milliseconds;
+using Microseconds = std::chrono::microseconds;
+
+/// Seeded generator that is passed into the decision logic, so that runs can be repeated.
+using Random = std::mt19937_64;
+
+/// Identity of one run of a process: 128 random bits drawn at start, never reused.
+struct Incarnation {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  auto operator<=>(const Incarnation&) const = default;
+
+  /// Returns whether no identity has been set.
+  bool IsNil() const { return this->high == 0 && this->low == 0; }
+
+  /// Returns 32 lower-case hexadecimal digits.
+  std::string Text() const;
+
+  /// Parses the form written by Text(). Returns nothing for any other text.
+  static std::optional<Incarnation> Parse(std::string_view text);
+
+  /// Draws a new identity from the given generator of 64-bit numbers.
+  static Incarnation Draw(const std::function<std::uint64_t()>& next);
+};
+
+/// Permission to submit one job once. Only the owner incarnation starts the tasks of its tickets.
+struct Ticket {
+  std::string service;
+  Incarnation owner;
+  std::uint64_t sequence = 0;
+  /// Version of the owner's agent list when the ticket was issued. Only agents that the owner
+  /// had accepted by then may run the job's tasks, so a salvaging entry knows whom to ask.
+  std::uint64_t roster = 0;
+
+  auto operator<=>(const Ticket&) const = default;
+
+  /// Returns `service~owner~sequence~roster`.
+  std::string Text() const;
+
+  /// Parses the form written by Text(). Returns nothing for any other text.
+  static std::optional<Ticket> Parse(std::string_view text);
+};
+
+/// Identity of one task: the job's ticket and the task's position in the job.
+struct TaskKey {
+  Ticket ticket;
+  std::uint32_t index = 0;
+
+  auto operator<=>(const TaskKey&) const = default;
+
+  /// Returns `ticket/index`.
+  std::string Text() const;
+
+  /// Parses the form written by Text(). Returns nothing for any other text.
+  static std::optional<TaskKey> Parse(std::string_view text);
+};
+
+}  // namespace quetzalvale
+
+template <>
+struct std::hash<quetzalvale::Incarnation> {
+  std::size_t operator()(const quetzalvale::Incarnation& value) const noexcept;
+};
+
+template <>
+struct std::hash<quetzalvale::Ticket> {
+  std::size_t operator()(const quetzalvale::Ticket& value) const noexcept;
+};
+
+template <>
+struct std::hash<quetzalvale::TaskKey> {
+  std::size_t operator()(const quetzalvale::TaskKey& value) const noexcept;
+};
--- /dev/null
+++ b/src/protocol/codec.cc
@@ -0,0 +1,89 @@
+#include "protocol/codec.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <memory>
+#include <stdexcept>
+
+namespace quetzalvale {
+namespace codec_detail {
+
+void ThrowMalformed(const std::string& path, const char* expected) {
+  throw std::invalid_argument(path + " must be " + expected);
+}
+
+std::string MemberPath(const std::string& path, const std::string& name) {
+  std::string member = path;
+  member += '.';
+  member += name;
+  return member;
+}
+
+std::int64_t ReadInteger(const Json::Value& json, const std::string& path, std::int64_t lowest,
+                         std::int64_t highest) {
+  if (!json.isInt64()) {
+    ThrowMalformed(path, "an integer");
+  }
+  const std::int64_t value = json.asInt64();
+  if (value < lowest || value > highest) {
+    ThrowMalformed(path, "an integer within its range");
+  }
+  return value;
+}
+
+std::uint64_t ReadUnsigned(const Json::Value& json, const std::string& path) {
+  if (!json.isUInt64()) {
+    ThrowMalformed(path, "a non-negative integer");
+  }
+  return json.asUInt64();
+}
+
+double ReadDouble(const Json::Value& json, const std::string& path) {
+  if (!json.isNumeric()) {
+    ThrowMalformed(path, "a number");
+  }
+  return json.asDouble();
+}
+
+bool ReadBool(const Json::Value& json, const std::string& path) {
+  if (!json.isBool()) {
+    ThrowMalformed(path, "true or false");
+  }
+  return json.asBool();
+}
+
+std::string ReadString(const Json::Value& json, const std::string& path) {
+  if (!json.isString()) {
+    ThrowMalformed(path, "a string");
+  }
+  return json.asString();
+}
+
+}  // namespace codec_detail
+
+std::string WriteJson(const Json::Value& json) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, json);
+}
+
+Result<Json::Value> ReadJson(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  // Strict mode allows only arrays and objects at the top; payloads may be any JSON value.
+  builder["strictRoot"] = false;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value json;
+  std::string errors;
+  try {
+    if (reader->parse(text.data(), text.data() + text.size(), &json, &errors)) {
+      return json;
+    }
+  } catch (const Json::Exception& too_deep) {
+    errors = too_deep.what();
+  }
+  return Error{ErrorKind::kMalformed, "not valid JSON, correct the text: " + errors};
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/protocol/fields.h
@@ -0,0 +1,251 @@
+/// Lists the fields of each inner message once, for the encoder and the decoder alike.
+#pragma once
+
+#include "core/messages.h"
+
+namespace quetzalvale {
+
+// Each overload calls visit(name, field) for every field, in a fixed order.
+
+template <typename V>
+void VisitFields(V& visit, TaskSpec& m) {
+  visit("payload", m.payload);
+  visit("declared_ms", m.declared);
+  visit("cores", m.cores);
+  visit("memory_mb", m.memory_mb);
+  visit("accelerators", m.accelerators);
+}
+
+template <typename V>
+void VisitFields(V& visit, Outcome& m) {
+  visit("task", m.task);
+  visit("ok", m.ok);
+  visit("reason", m.reason);
+  visit("result", m.result);
+  visit("run_us", m.run_time);
+}
+
+template <typename V>
+void VisitFields(V& visit, AgentLoad& m) {
+  visit("free_slots", m.free_slots);
+  visit("queued", m.queued);
+  visit("configuration_version", m.configuration_version);
+  visit("leaving", m.leaving);
+}
+
+template <typename V>
+void VisitFields(V& visit, StartItem& m) {
+  visit("task", m.task);
+  visit("kind", m.kind);
+  visit("spec", m.spec);
+  visit("time_left_ms", m.time_left);
+}
+
+template <typename V>
+void VisitFields(V& visit, StartRequest& m) {
+  visit("owner", m.owner);
+  visit("owner_address", m.owner_address);
+  visit("agent", m.agent);
+  visit("channel_sequence", m.channel_sequence);
+  visit("lease_ms", m.lease);
+  visit("configuration_version", m.configuration_version);
+  visit("items", m.items);
+}
+
+template <typename V>
+void VisitFields(V& visit, StartReply& m) {
+  visit("agent", m.agent);
+  visit("repeated", m.repeated);
+  visit("decisions", m.decisions);
+  visit("outcomes", m.outcomes);
+  visit("load", m.load);
+}
+
+template <typename V>
+void VisitFields(V& visit, TaskReport& m) {
+  visit("task", m.task);
+  visit("status", m.status);
+  visit("outcome", m.outcome);
+}
+
+template <typename V>
+void VisitFields(V& visit, WithdrawItem& m) {
+  visit("channel_sequence", m.channel_sequence);
+  visit("task", m.task);
+}
+
+template <typename V>
+void VisitFields(V& visit, WithdrawRequest& m) {
+  visit("owner", m.owner);
+  visit("agent", m.agent);
+  visit("items", m.items);
+  visit("stop_running", m.stop_running);
+}
+
+template <typename V>
+void VisitFields(V& visit, WithdrawReply& m) {
+  visit("agent", m.agent);
+  visit("reports", m.reports);
+  visit("load", m.load);
+}
+
+template <typename V>
+void VisitFields(V& visit, SealRequest& m) {
+  visit("ticket", m.ticket);
+  visit("sealer", m.sealer);
+}
+
+template <typename V>
+void VisitFields(V& visit, SealReply& m) {
+  visit("agent", m.agent);
+  visit("maybe_started", m.maybe_started);
+  visit("reports", m.reports);
+}
+
+template <typename V>
+void VisitFields(V& visit, OutcomesRequest& m) {
+  visit("agent", m.agent);
+  visit("owner", m.owner);
+  visit("outcomes", m.outcomes);
+  visit("load", m.load);
+}
+
+template <typename V>
+void VisitFields(V& visit, OutcomesReply& m) {
+  visit("owner", m.owner);
+  visit("configuration_version", m.configuration_version);
+}
+
+template <typename V>
+void VisitFields(V& visit, WorkerCapacity& m) {
+  visit("slots", m.slots);
+  visit("connections", m.connections);
+  visit("cores", m.cores);
+  visit("memory_mb", m.memory_mb);
+  visit("accelerators", m.accelerators);
+}
+
+template <typename V>
+void VisitFields(V& visit, Announce& m) {
+  visit("agent", m.agent);
+  visit("name", m.name);
+  visit("service", m.service);
+  visit("data_centre", m.data_centre);
+  visit("address", m.address);
+  visit("worker", m.worker);
+  visit("load", m.load);
+}
+
+template <typename V>
+void VisitFields(V& visit, EntryInfo& m) {
+  visit("incarnation", m.incarnation);
+  visit("address", m.address);
+  visit("data_centre", m.data_centre);
+}
+
+template <typename V>
+void VisitFields(V& visit, AnnounceReply& m) {
+  visit("entry", m.entry);
+  visit("entries", m.entries);
+  visit("configuration_version", m.configuration_version);
+}
+
+template <typename V>
+void VisitFields(V& visit, RosterItem& m) {
+  visit("service", m.service);
+  visit("agent", m.agent);
+  visit("address", m.address);
+  visit("first_roster", m.first_roster);
+}
+
+template <typename V>
+void VisitFields(V& visit, Succession& m) {
+  visit("departed", m.departed);
+  visit("successor", m.successor);
+}
+
+template <typename V>
+void VisitFields(V& visit, Hello& m) {
+  visit("entry", m.entry);
+  visit("leaving", m.leaving);
+  visit("entries", m.entries);
+  visit("roster", m.roster);
+  visit("roster_number", m.roster_number);
+  visit("demand", m.demand);
+  visit("configuration_versions", m.configuration_versions);
+  visit("successions", m.successions);
+}
+
+template <typename V>
+void VisitFields(V& visit, Submission& m) {
+  visit("service", m.service);
+  visit("ticket", m.ticket);
+  visit("key", m.key);
+  visit("team", m.team);
+  visit("kind", m.kind);
+  visit("deadline_ms", m.deadline);
+  visit("tasks", m.tasks);
+  visit("body_hash", m.body_hash);
+}
+
+template <typename V>
+void VisitFields(V& visit, Answer& m) {
+  visit("status", m.status);
+  visit("ticket", m.ticket);
+  visit("error", m.error);
+  visit("reason", m.reason);
+  visit("message", m.message);
+  visit("not_run", m.not_run);
+  visit("results", m.results);
+  visit("fresh_tickets", m.fresh_tickets);
+}
+
+template <typename V>
+void VisitFields(V& visit, ForwardRequest& m) {
+  visit("from", m.from);
+  visit("request_id", m.request_id);
+  visit("submission", m.submission);
+}
+
+template <typename V>
+void VisitFields(V& visit, ForwardReply& m) {
+  visit("entry", m.entry);
+  visit("taken", m.taken);
+}
+
+template <typename V>
+void VisitFields(V& visit, AnswerRequest& m) {
+  visit("to", m.to);
+  visit("request_id", m.request_id);
+  visit("answer", m.answer);
+}
+
+template <typename V>
+void VisitFields(V& visit, CancelRequest& m) {
+  visit("ticket", m.ticket);
+}
+
+template <typename V>
+void VisitFields(V& visit, HandOver::RetainedAnswer& m) {
+  visit("sequence", m.sequence);
+  visit("body_hash", m.body_hash);
+  visit("answer", m.answer);
+}
+
+template <typename V>
+void VisitFields(V& visit, HandOver& m) {
+  visit("owner", m.owner);
+  visit("service", m.service);
+  visit("next_sequence", m.next_sequence);
+  visit("floor", m.floor);
+  visit("used", m.used);
+  visit("answers", m.answers);
+}
+
+template <typename V>
+void VisitFields(V& visit, Acknowledgement& m) {
+  visit("from", m.from);
+  visit("accepted", m.accepted);
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/protocol/rpc_client.cc
@@ -0,0 +1,43 @@
+#include "protocol/rpc_client.h"
+
+#include <json/reader.h>
+#include <jsonrpccpp/client.h>
+#include <jsonrpccpp/client/connectors/httpclient.h>
+#include <jsonrpccpp/common/errors.h>
+
+namespace quetzalvale {
+
+struct RpcClient::State {
+  State(const std::string& address, const std::string& key)
+      : connector("http://" + address), client(connector, jsonrpc::JSONRPC_CLIENT_V2) {
+    this->connector.AddHeader("X-Quetzalvale-Key", key);
+    // Without this curl waits for a "100 Continue" before it sends bodies over 1 KiB.
+    this->connector.AddHeader("Expect", "");
+  }
+
+  jsonrpc::HttpClient connector;
+  jsonrpc::Client client;
+};
+
+RpcClient::RpcClient(const std::string& address, const std::string& shared_key)
+    : state(new State(address, shared_key)) {}
+
+RpcClient::~RpcClient() = default;
+
+RpcReply RpcClient::Call(const std::string& method, const Json::Value& parameters, int timeout_ms) {
+  RpcReply reply;
+  try {
+    this->state->connector.SetTimeout(timeout_ms);
+    reply.result = this->state->client.CallMethod(method, parameters);
+    reply.outcome = RpcOutcome::kOk;
+  } catch (const jsonrpc::JsonRpcException& error) {
+    reply.message = error.what();
+    const bool in_transport = error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_CONNECTOR ||
+                              error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE ||
+                              error.GetCode() == jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR;
+    reply.outcome = in_transport ? RpcOutcome::kUnknown : RpcOutcome::kRefused;
+  }
+  return reply;
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/protocol/codec_test.cc
@@ -0,0 +1,73 @@
+#include "protocol/codec.h"
+
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+namespace quetzalvale {
+namespace {
+
+StartRequest SampleStart() {
+  StartRequest request;
+  request.owner = {1, 2};
+  request.owner_address = "127.0.0.1:7101";
+  request.agent = {3, 4};
+  request.channel_sequence = 5;
+  request.lease = Milliseconds(3000);
+  StartItem item;
+  item.task = {{"service", {1, 2}, 9, 1}, 3};
+  item.kind = "quote";
+  item.spec.payload = R"({"a":[1,2]})";
+  item.spec.cores = 0.5;
+  item.time_left = Milliseconds(-1);
+  request.items.push_back(item);
+  return request;
+}
+
+TEST(CodecTest, MessageSurvivesTheRoundTrip) {
+  const Json::Value json = Encode(SampleStart());
+  const auto text = ReadJson(WriteJson(json));
+  ASSERT_TRUE(IsOk(text));
+  const auto decoded = Decode<StartRequest>(std::get<0>(text));
+  EXPECT_EQ(WriteJson(Encode(decoded)), WriteJson(json));
+  EXPECT_EQ(decoded.items.at(0).task, SampleStart().items.at(0).task);
+  EXPECT_EQ(decoded.items.at(0).time_left, Milliseconds(-1));
+}
+
+TEST(CodecTest, HelloKeepsDemandByServiceAndTeam) {
+  Hello hello;
+  hello.demand[{"service", "desk"}] = 12.5;
+  hello.configuration_versions["service"] = 1ULL << 40;
+  const auto decoded = Decode<Hello>(Encode(hello));
+  EXPECT_EQ(decoded.demand, hello.demand);
+  EXPECT_EQ(decoded.configuration_versions, hello.configuration_versions);
+}
+
+// A field of the wrong type from a faulty peer must be refused by name, not read as zero.
+TEST(CodecTest, WrongFieldIsNamed) {
+  Json::Value json = Encode(SampleStart());
+  json["items"][0]["task"] = "nonsense";
+  try {
+    Decode<StartRequest>(json);
+    FAIL() << "accepted a malformed task key";
+  } catch (const std::invalid_argument& error) {
+    EXPECT_STREQ(error.what(), "message.items[0].task must be an identity in its text form");
+  }
+}
+
+TEST(CodecTest, EnumOutOfRangeIsRefused) {
+  StartReply reply;
+  reply.decisions = {StartRefusal::kBusy};
+  Json::Value json = Encode(reply);
+  json["decisions"][0] = 99;
+  EXPECT_THROW(Decode<StartReply>(json), std::invalid_argument);
+}
+
+TEST(CodecTest, MalformedJsonIsAnError) {
+  EXPECT_FALSE(IsOk(ReadJson("{\"a\":")));
+  EXPECT_FALSE(IsOk(ReadJson(std::string(100000, '['))));
+  EXPECT_TRUE(IsOk(ReadJson("3")));
+}
+
+}  // namespace
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/protocol/rpc_test.cc
@@ -0,0 +1,68 @@
+#include <gtest/gtest.h>
+
+#include <stdexcept>
+
+#include "protocol/rpc_client.h"
+#include "protocol/rpc_server.h"
+
+namespace quetzalvale {
+namespace {
+
+constexpr char kAddress[] = "127.0.0.1:17391";
+constexpr char kKey[] = "secret";
+constexpr int kTimeoutMs = 20000;
+
+class RpcTest : public testing::Test {
+ protected:
+  RpcTest() : server(kAddress, kKey, 2) {
+    this->server.Register("echo", [](const Json::Value& parameters) { return parameters; });
+    this->server.Register("fail", [](const Json::Value&) -> Json::Value {
+      throw std::invalid_argument("message.x must be an integer");
+    });
+    EXPECT_TRUE(this->server.Start());
+  }
+
+  static Json::Value Parameters() {
+    Json::Value parameters;
+    parameters["text"] = std::string(5000, 'x');
+    return parameters;
+  }
+
+  RpcServer server;
+};
+
+TEST_F(RpcTest, ReturnsTheResult) {
+  RpcClient client(kAddress, kKey);
+  for (int i = 0; i < 3; ++i) {
+    const RpcReply reply = client.Call("echo", Parameters(), kTimeoutMs);
+    ASSERT_EQ(reply.outcome, RpcOutcome::kOk) << reply.message;
+    EXPECT_EQ(reply.result, Parameters());
+  }
+}
+
+TEST_F(RpcTest, MalformedParametersAreRefusedWithTheReason) {
+  RpcClient client(kAddress, kKey);
+  const RpcReply reply = client.Call("fail", Parameters(), kTimeoutMs);
+  EXPECT_EQ(reply.outcome, RpcOutcome::kRefused);
+  EXPECT_NE(reply.message.find("message.x must be an integer"), std::string::npos) << reply.message;
+}
+
+// Without this check any process on the network could start tasks.
+TEST_F(RpcTest, WrongKeyDoesNotReachTheHandler) {
+  RpcClient client(kAddress, "guess");
+  EXPECT_NE(client.Call("echo", Parameters(), kTimeoutMs).outcome, RpcOutcome::kOk);
+}
+
+TEST_F(RpcTest, StoppedServerIsReported) {
+  this->server.Stop();
+  RpcClient client(kAddress, kKey);
+  EXPECT_NE(client.Call("echo", Parameters(), kTimeoutMs).outcome, RpcOutcome::kOk);
+}
+
+TEST_F(RpcTest, AddressInUseFailsToStart) {
+  RpcServer second("127.0.0.1:999999", kKey, 1);
+  EXPECT_FALSE(RpcServer("not an address", kKey, 1).Start());
+}
+
+}  // namespace
+}  // namespace quetzalvale
