Add the agent's decision logic

AgentCore composes one class per duty: ChannelTable and ChannelWindow (duplicate starts), TaskStore (records and outcomes), StartedTickets and SealedTickets (what may have started, what never may), LeaseKeeper, OutcomeSender, Announcer and EndpointWatch.

StartedTickets notes task indices and not only ticket sequences: with sequences alone, a late task of a long job is indistinguishable from one whose record was discarded.

clang-tidy reports the literal zero inside defaulted comparisons as a null pointer in every unit that uses them; the lines in types.h are marked.

--- /dev/null
+++ b/src/core/agent_core.h
@@ -0,0 +1,131 @@
+/// Decision logic of the agent: accepts, starts and reports the tasks of one endpoint.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/agent_events.h"
+#include "core/agent_guards.h"
+#include "core/announcer.h"
+#include "core/channel_table.h"
+#include "core/endpoint_watch.h"
+#include "core/lease_keeper.h"
+#include "core/messages.h"
+#include "core/outcome_sender.h"
+#include "core/sealed_tickets.h"
+#include "core/service_configuration.h"
+#include "core/started_tickets.h"
+#include "core/task_store.h"
+
+namespace quetzalvale {
+
+/// Who the agent is; constant for one run of the process.
+struct AgentIdentity {
+  Incarnation incarnation;
+  std::string name;
+  std::string service;
+  std::string data_centre;
+  /// Inner address, `IPv4:port`.
+  std::string address;
+  WorkerCapacity worker;
+};
+
+/// A task is recorded before it is started and handed to the endpoint at most once. Not
+/// thread-safe.
+class AgentCore {
+ public:
+  AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses);
+  /// For tests that disable guards or need small limits.
+  AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
+            AgentGuards guards, TaskStore::Limits task_limits, std::size_t started_tasks,
+            SealedTickets::Limits sealed_limits);
+  AgentCore(const AgentCore&) = delete;
+  AgentCore& operator=(const AgentCore&) = delete;
+
+  /// Handles one event and returns what to do, in order. `now` must not decrease.
+  std::vector<AgentAction> Handle(Time now, const AgentEvent& event);
+
+  /// Number of outcomes that were in a message for the first time, and of those sent again.
+  std::uint64_t OutcomesSent() const { return this->outcomes_sent; }
+  std::uint64_t OutcomesRepeated() const { return this->outcomes_repeated; }
+
+  AgentLoad Load() const;
+
+ private:
+  void On(const StartReceived& event);
+  void On(const WithdrawReceived& event);
+  void On(const SealReceived& event);
+  void On(const EndpointFinished& event);
+  void On(const EndpointRefused& event);
+  void On(const EndpointChecked& event);
+  void On(const OutcomesReplied& event);
+  void On(const AnnounceReplied& event);
+  void On(const AgentConfigurationChanged& event);
+  void On(const LeaveRequested& event);
+  void On(const Tick& event);
+
+  StartRefusal Decide(const StartRequest& request, const StartItem& item, StartReply* reply);
+  StartRefusal DecideKnown(const TaskRecord& record, StartReply* reply) const;
+  StartRefusal DecideNew(const StartRequest& request, const StartItem& item);
+  bool IsBusy() const;
+
+  TaskReport Withdraw(const WithdrawRequest& request, const WithdrawItem& item);
+  TaskReport Report(const TaskKey& task) const;
+  /// Whether records of the ticket's started tasks may have been discarded.
+  bool MaybeStarted(const Ticket& ticket) const;
+
+  /// Ends a task that was not handed over, with a reason that proves that it did not run.
+  void FinishNotRun(const TaskKey& task, std::string_view reason);
+  void Deliver(const TaskKey& task);
+  void Release(const std::vector<TaskKey>& tasks);
+
+  void NoteGap();
+  void EndExpired();
+  void FillSlots();
+  void HandOver(const TaskKey& task);
+  void RenewDueLeases();
+  void SendDueOutcomes();
+  void AnnounceIfDue();
+  void CheckEndpointIfDue();
+  void CloseOwners();
+  void DepartIfDone();
+  /// Asks for the configuration if this version is newer and not being fetched.
+  void NoteVersion(std::uint64_t version, const std::string& address);
+  void LogLine(int number, std::string_view name, std::string details);
+
+  AgentIdentity identity;
+  AgentGuards guards;
+  std::shared_ptr<const ServiceConfiguration> configuration;
+  TaskStore store;
+  StartedTickets started;
+  SealedTickets sealed;
+  ChannelTable channels;
+  LeaseKeeper leases;
+  OutcomeSender outcomes;
+  Announcer announcer;
+  EndpointWatch endpoint;
+
+  std::uint64_t outcomes_sent = 0;
+  std::uint64_t outcomes_repeated = 0;
+  std::uint64_t fetched_version = 0;
+  Time fetch_again{};
+
+  bool leaving = false;
+  bool departed = false;
+  Time leaving_since{};
+  /// When the last task finished while leaving, and when all entries knew.
+  std::optional<Time> idle_since;
+  std::optional<Time> known_since;
+
+  /// Time of the event being handled and of the one before.
+  Time now{};
+  std::optional<Time> previous;
+  std::vector<AgentAction> actions;
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/agent_guards.h
@@ -0,0 +1,32 @@
+/// The agent's checks that keep a task from starting twice or too late.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "core/channel_table.h"
+#include "core/sealed_tickets.h"
+#include "core/started_tickets.h"
+#include "core/types.h"
+
+namespace quetzalvale {
+
+/// Each guard is a hook, so that a test can disable it and show that the guarantee then fails.
+/// Never set from settings.
+struct AgentGuards {
+  std::function<bool(ChannelTable&, const Incarnation&, std::uint64_t, Time)> accept_sequence =
+      [](ChannelTable& channels, const Incarnation& owner, std::uint64_t sequence, Time now) {
+        return channels.Accept(owner, sequence, now);
+      };
+  std::function<bool(const SealedTickets&, const Ticket&)> is_sealed =
+      [](const SealedTickets& sealed, const Ticket& ticket) { return sealed.IsSealed(ticket); };
+  std::function<StartedAnswer(const StartedTickets&, const TaskKey&)> ask_started =
+      [](const StartedTickets& started, const TaskKey& task) { return started.Ask(task); };
+  std::function<bool(Time, Time)> has_time_left = [](Time now, Time deadline) {
+    return now < deadline;
+  };
+  std::function<bool(const Incarnation&, const Incarnation&)> same_incarnation =
+      [](const Incarnation& own, const Incarnation& named) { return own == named; };
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/lease_keeper.cc
@@ -0,0 +1,52 @@
+#include "core/lease_keeper.h"
+
+#include <set>
+#include <utility>
+
+namespace quetzalvale {
+namespace {
+
+/// A lease is due at a third of its length. Once one is due, those past a sixth are renewed with
+/// it, which saves their own request.
+constexpr int kDueParts = 3;
+constexpr int kJoinParts = 6;
+
+}  // namespace
+
+void LeaseKeeper::Add(const TaskKey& task, Milliseconds lease, Time now) {
+  this->leases[task] = Lease{lease, now};
+}
+
+void LeaseKeeper::Remove(const TaskKey& task) { this->leases.erase(task); }
+
+std::vector<LeaseKeeper::Renewal> LeaseKeeper::TakeDue(Time now) {
+  std::set<Milliseconds> due_lengths;
+  for (const auto& [task, lease] : this->leases) {
+    if ((now - lease.renewed) * kDueParts >= lease.length) {
+      due_lengths.insert(lease.length);
+    }
+  }
+  std::map<Milliseconds, Renewal> renewals;
+  if (due_lengths.empty()) {
+    return {};
+  }
+  for (auto& [task, lease] : this->leases) {
+    const auto age = now - lease.renewed;
+    if (!due_lengths.contains(lease.length) || age * kJoinParts < lease.length) {
+      continue;
+    }
+    Renewal& renewal = renewals[lease.length];
+    renewal.lease = lease.length;
+    renewal.tasks.push_back(task);
+    renewal.late += age >= lease.length ? 1 : 0;
+    lease.renewed = now;
+  }
+  std::vector<Renewal> result;
+  result.reserve(renewals.size());
+  for (auto& [length, renewal] : renewals) {
+    result.push_back(std::move(renewal));
+  }
+  return result;
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/lease_keeper.h
@@ -0,0 +1,41 @@
+/// Renewal of the leases of running tasks.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "core/types.h"
+
+namespace quetzalvale {
+
+/// Renews each lease when a third of it has passed, so that two renewals may be lost. Leases of
+/// equal length are renewed in one request. Not thread-safe.
+class LeaseKeeper {
+ public:
+  struct Renewal {
+    Milliseconds lease{0};
+    std::vector<TaskKey> tasks;
+    /// Tasks whose lease may have lapsed before this renewal, for example because the process was
+    /// frozen. The worker stops those on its own.
+    std::size_t late = 0;
+  };
+
+  void Add(const TaskKey& task, Milliseconds lease, Time now);
+  void Remove(const TaskKey& task);
+
+  /// Returns the renewals that are due and counts them as sent.
+  std::vector<Renewal> TakeDue(Time now);
+
+  std::size_t Size() const { return this->leases.size(); }
+
+ private:
+  struct Lease {
+    Milliseconds length{0};
+    Time renewed{};
+  };
+
+  std::map<TaskKey, Lease> leases;
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/task_store.cc
@@ -0,0 +1,129 @@
+#include "core/task_store.h"
+
+#include <algorithm>
+
+namespace quetzalvale {
+namespace {
+
+std::size_t OutcomeBytes(const TaskRecord& record) {
+  return record.outcome.result.size() + record.outcome.reason.size();
+}
+
+}  // namespace
+
+bool TaskStore::MakeRoom(std::size_t payload_bytes) {
+  const auto full = [&] {
+    return this->records.size() >= this->limits.records ||
+           this->bytes + payload_bytes > this->limits.bytes;
+  };
+  while (full() && !this->released.empty()) {
+    this->DiscardOldest();
+  }
+  return !full();
+}
+
+void TaskStore::Add(const TaskKey& task, TaskRecord record) {
+  record.state = TaskState::kQueued;
+  this->bytes += record.payload.size();
+  this->records.insert_or_assign(task, std::move(record));
+  this->queue.push_back(task);
+  ++this->unfinished[task.ticket.owner];
+}
+
+const TaskRecord* TaskStore::Find(const TaskKey& task) const {
+  const auto found = this->records.find(task);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+std::vector<TaskKey> TaskStore::TasksOf(const Ticket& ticket) const {
+  std::vector<TaskKey> tasks;
+  for (auto it = this->records.lower_bound(TaskKey{ticket, 0});
+       it != this->records.end() && it->first.ticket == ticket; ++it) {
+    tasks.push_back(it->first);
+  }
+  return tasks;
+}
+
+std::optional<TaskKey> TaskStore::FirstQueued() const {
+  if (this->queue.empty()) {
+    return std::nullopt;
+  }
+  return this->queue.front();
+}
+
+std::vector<TaskKey> TaskStore::QueuedTasks() const {
+  return {this->queue.begin(), this->queue.end()};
+}
+
+bool TaskStore::HasUnfinished(const Incarnation& owner) const {
+  return this->unfinished.contains(owner);
+}
+
+std::string TaskStore::HandOver(const TaskKey& task) {
+  TaskRecord& record = this->records.at(task);
+  std::erase(this->queue, task);
+  record.state = TaskState::kRunning;
+  record.handed_over = true;
+  ++this->running;
+  this->bytes -= record.payload.size();
+  std::string payload = std::move(record.payload);
+  record.payload = std::string();
+  return payload;
+}
+
+void TaskStore::Finish(const TaskKey& task, Outcome outcome, bool refused) {
+  TaskRecord& record = this->records.at(task);
+  if (record.state == TaskState::kFinished) {
+    return;
+  }
+  if (record.state == TaskState::kRunning) {
+    --this->running;
+  } else {
+    std::erase(this->queue, task);
+  }
+  if (--this->unfinished[task.ticket.owner] == 0) {
+    this->unfinished.erase(task.ticket.owner);
+  }
+  this->bytes -= record.payload.size();
+  record.payload = std::string();
+  record.state = TaskState::kFinished;
+  record.refused = refused;
+  record.outcome = std::move(outcome);
+  record.outcome.task = task;
+  this->bytes += OutcomeBytes(record);
+}
+
+void TaskStore::RemoveQueued(const TaskKey& task) {
+  const auto found = this->records.find(task);
+  this->bytes -= found->second.payload.size();
+  std::erase(this->queue, task);
+  if (--this->unfinished[task.ticket.owner] == 0) {
+    this->unfinished.erase(task.ticket.owner);
+  }
+  this->records.erase(found);
+}
+
+void TaskStore::Release(const TaskKey& task, Time now) {
+  const auto found = this->records.find(task);
+  if (found == this->records.end() || found->second.state != TaskState::kFinished ||
+      found->second.released) {
+    return;
+  }
+  found->second.released = true;
+  this->released.emplace_back(now, task);
+}
+
+void TaskStore::DiscardExpired(Time now) {
+  while (!this->released.empty() && now - this->released.front().first >= this->limits.retention) {
+    this->DiscardOldest();
+  }
+}
+
+void TaskStore::DiscardOldest() {
+  const auto found = this->records.find(this->released.front().second);
+  this->bytes -= OutcomeBytes(found->second);
+  this->records.erase(found);
+  this->released.pop_front();
+}
+
+}  // namespace quetzalvale
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -10,6 +10,9 @@
 #include <string>
 #include <string_view>
 
+// clang-tidy takes the literal zero inside defaulted comparisons for a null pointer, hence the
+// NOLINT marks at operator<=>.
+
 namespace quetzalvale {
 
 /// Monotonic time as passed into the decision logic. Never compared between processes.
@@ -25,7 +28,7 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
-  auto operator<=>(const Incarnation&) const = default;
+  auto operator<=>(const Incarnation&) const = default;  // NOLINT(modernize-use-nullptr)
 
   /// Returns whether no identity has been set.
   bool IsNil() const { return this->high == 0 && this->low == 0; }
@@ -49,7 +52,7 @@
   /// had accepted by then may run the job's tasks, so a salvaging entry knows whom to ask.
   std::uint64_t roster = 0;
 
-  auto operator<=>(const Ticket&) const = default;
+  auto operator<=>(const Ticket&) const = default;  // NOLINT(modernize-use-nullptr)
 
   /// Returns `service~owner~sequence~roster`.
   std::string Text() const;
@@ -63,7 +66,7 @@
   Ticket ticket;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskKey&) const = default;
+  auto operator<=>(const TaskKey&) const = default;  // NOLINT(modernize-use-nullptr)
 
   /// Returns `ticket/index`.
   std::string Text() const;
