Test the agent's decision logic

Unit tests per class, and a seeded simulation of one agent with lossy, reordering and repeating owners: 40 seeds of 10,000 events, checked for double hand-overs, false claims of not run, starts of sealed tickets and lost outcomes. Five tests each disable one guard and show that the simulation then finds the fault.

The simulation assumes that a message is delayed for less than the retention of records. Records of tasks that did not run are therefore not dropped early: a delayed copy of such an outcome would otherwise be taken as proof about a later start of the same task here.

Two first expectations were wrong, not the code: a lost result counts as a failure and is followed by a pause, and the departure comes with the last acknowledgement and not with the next tick.

--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -38,11 +38,6 @@
   return outcome;
 }
 
-/// The record shows that the task never ran here.
-bool DidNotRun(const TaskRecord& record) {
-  return record.state == TaskState::kFinished && (!record.handed_over || record.refused);
-}
-
 }  // namespace
 
 AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses)
@@ -140,7 +135,7 @@
 }
 
 StartRefusal AgentCore::DecideKnown(const TaskRecord& record, StartReply* reply) const {
-  if (DidNotRun(record)) {
+  if (record.DidNotRun()) {
     // A delayed copy of the outcome that proves "not run" would be taken for one of a new start, so
     // the task is not started here again.
     return StartRefusal::kBusy;
@@ -227,7 +222,7 @@
     }
   } else if (record->state != TaskState::kFinished) {
     report.status = TaskStatus::kRunning;
-  } else if (!DidNotRun(*record)) {
+  } else if (!record->DidNotRun()) {
     report.status = TaskStatus::kFinished;
     report.outcome = record->outcome;
   }
--- a/src/core/task_store.cc
+++ b/src/core/task_store.cc
@@ -16,8 +16,8 @@
     return this->records.size() >= this->limits.records ||
            this->bytes + payload_bytes > this->limits.bytes;
   };
-  while (full() && !this->released.empty()) {
-    this->DiscardOldest();
+  while (full() && !this->released_ran.empty()) {
+    this->DiscardOldest(&this->released_ran);
   }
   return !full();
 }
@@ -110,20 +110,23 @@
     return;
   }
   found->second.released = true;
-  this->released.emplace_back(now, task);
+  ReleasedQueue& target = found->second.DidNotRun() ? this->released_not_run : this->released_ran;
+  target.emplace_back(now, task);
 }
 
 void TaskStore::DiscardExpired(Time now) {
-  while (!this->released.empty() && now - this->released.front().first >= this->limits.retention) {
-    this->DiscardOldest();
+  for (ReleasedQueue* released : {&this->released_ran, &this->released_not_run}) {
+    while (!released->empty() && now - released->front().first >= this->limits.retention) {
+      this->DiscardOldest(released);
+    }
   }
 }
 
-void TaskStore::DiscardOldest() {
-  const auto found = this->records.find(this->released.front().second);
+void TaskStore::DiscardOldest(ReleasedQueue* queue_of_released) {
+  const auto found = this->records.find(queue_of_released->front().second);
   this->bytes -= OutcomeBytes(found->second);
   this->records.erase(found);
-  this->released.pop_front();
+  queue_of_released->pop_front();
 }
 
 }  // namespace quetzalvale
--- a/src/core/task_store.h
+++ b/src/core/task_store.h
@@ -34,10 +34,17 @@
   Outcome outcome;
   /// The owner acknowledged the outcome or is gone; the record stays only for salvage.
   bool released = false;
+
+  /// Whether it is proven that the task did not run here.
+  bool DidNotRun() const {
+    return this->state == TaskState::kFinished && (!this->handed_over || this->refused);
+  }
 };
 
 /// Keeps an outcome until it is released, then for a retention time. A full store drops released
-/// records early and takes no new ones when nothing is released. Not thread-safe.
+/// records early and takes no new ones when nothing can be dropped. Records of tasks that did not
+/// run stay for the whole retention time: while a delayed copy of such an outcome may still arrive,
+/// the task must not start here again. Not thread-safe.
 class TaskStore {
  public:
   struct Limits {
@@ -94,7 +101,9 @@
   std::size_t Bytes() const { return this->bytes; }
 
  private:
-  void DiscardOldest();
+  using ReleasedQueue = std::deque<std::pair<Time, TaskKey>>;
+
+  void DiscardOldest(ReleasedQueue* queue_of_released);
 
   Limits limits;
   std::map<TaskKey, TaskRecord> records;
@@ -102,7 +111,8 @@
   std::size_t running = 0;
   std::size_t bytes = 0;
   /// Released records in the order of their release.
-  std::deque<std::pair<Time, TaskKey>> released;
+  ReleasedQueue released_ran;
+  ReleasedQueue released_not_run;
   /// Queued and running tasks by owner.
   std::map<Incarnation, std::size_t> unfinished;
 };
--- /dev/null
+++ b/tests/agent/agent_core_test.cc
@@ -0,0 +1,223 @@
+#include "core/agent_core.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/agent/agent_fixture.h"
+
+namespace quetzalvale {
+namespace {
+
+constexpr int kSlots = 2;
+constexpr int kQueue = 2;
+
+class AgentCoreTest : public testing::Test {
+ protected:
+  AgentCoreTest() : core(MakeIdentity(kSlots), {kOwnerAddress}) {
+    this->Handle(EndpointChecked{true});
+  }
+
+  std::vector<AgentAction> Handle(const AgentEvent& event, int ms_later = 1) {
+    this->now += Milliseconds(ms_later);
+    return this->core.Handle(this->now, event);
+  }
+
+  std::vector<AgentAction> Start(std::uint64_t sequence, const std::vector<TaskKey>& tasks,
+                                 Milliseconds time_left = Milliseconds(10000)) {
+    return this->Handle(StartReceived{1, MakeStart(sequence, tasks, time_left)});
+  }
+
+  StartReply StartReplyOf(const std::vector<AgentAction>& actions) {
+    return Select<ReplyStart>(actions).at(0).reply;
+  }
+
+  SealReply Seal(const Ticket& ticket) {
+    return Select<ReplySeal>(this->Handle(SealReceived{1, SealRequest{ticket, {7, 7}}}))
+        .at(0)
+        .reply;
+  }
+
+  std::vector<AgentAction> Finish(const TaskKey& task) {
+    Outcome outcome{task, true, "", "1", Microseconds(5)};
+    return this->Handle(EndpointFinished{task, outcome});
+  }
+
+  AgentCore core;
+  Time now{std::chrono::seconds(100)};
+};
+
+using Decisions = std::vector<StartRefusal>;
+
+TEST_F(AgentCoreTest, StartsQueuesAndRefusesBySlots) {
+  const auto actions = this->Start(
+      1, {MakeTask(1, 0), MakeTask(1, 1), MakeTask(1, 2), MakeTask(1, 3), MakeTask(1, 4)});
+  EXPECT_EQ(Select<StartOnEndpoint>(actions).size(), 2U);
+  const StartReply reply = this->StartReplyOf(actions);
+  EXPECT_EQ(reply.decisions,
+            (Decisions{StartRefusal::kNone, StartRefusal::kNone, StartRefusal::kNone,
+                       StartRefusal::kNone, StartRefusal::kBusy}));
+  EXPECT_EQ(reply.load.free_slots, 0);
+  EXPECT_EQ(reply.load.queued, kQueue);
+  const auto next = Select<StartOnEndpoint>(this->Finish(MakeTask(1, 0)));
+  ASSERT_EQ(next.size(), 1U);
+  EXPECT_EQ(next[0].task, MakeTask(1, 2));
+}
+
+// A duplicate that arrives while leaving must not be told "leaving": its tasks are running.
+TEST_F(AgentCoreTest, RepeatedStartGetsNoRefusal) {
+  this->Start(1, {MakeTask(1)});
+  this->Handle(LeaveRequested{});
+  const auto actions = this->Start(1, {MakeTask(1)});
+  EXPECT_TRUE(this->StartReplyOf(actions).repeated);
+  EXPECT_TRUE(this->StartReplyOf(actions).decisions.empty());
+  EXPECT_TRUE(Select<StartOnEndpoint>(actions).empty());
+}
+
+TEST_F(AgentCoreTest, RefusesWithTheReason) {
+  this->Seal(MakeTask(5).ticket);
+  EXPECT_EQ(this->StartReplyOf(this->Start(1, {MakeTask(5)})).decisions,
+            Decisions{StartRefusal::kSealed});
+  EXPECT_EQ(this->StartReplyOf(this->Start(2, {MakeTask(6)}, Milliseconds(0))).decisions,
+            Decisions{StartRefusal::kExpired});
+  StartRequest foreign = MakeStart(3, {MakeTask(7)});
+  foreign.agent = Incarnation{9, 9};
+  EXPECT_EQ(this->StartReplyOf(this->Handle(StartReceived{1, foreign})).decisions,
+            Decisions{StartRefusal::kWrongIncarnation});
+  this->Handle(EndpointChecked{false});
+  EXPECT_EQ(this->StartReplyOf(this->Start(3, {MakeTask(7)})).decisions,
+            Decisions{StartRefusal::kEndpointDown});
+  this->Handle(LeaveRequested{});
+  EXPECT_EQ(this->StartReplyOf(this->Start(4, {MakeTask(7)})).decisions,
+            Decisions{StartRefusal::kLeaving});
+}
+
+TEST_F(AgentCoreTest, WithdrawRemovesQueuedAndReportsTheRest) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1), MakeTask(1, 2)});
+  this->Finish(MakeTask(1, 1));
+  this->Start(2, {MakeTask(1, 3)});
+  WithdrawRequest request{kOwnerId, kAgentId, {}, true};
+  for (std::uint32_t index = 0; index < 4; ++index) {
+    request.items.push_back(WithdrawItem{index == 3 ? 2U : 1U, MakeTask(1, index)});
+  }
+  request.items.push_back(WithdrawItem{3, MakeTask(1, 9)});
+  const auto actions = this->Handle(WithdrawReceived{1, request});
+  const WithdrawReply reply = Select<ReplyWithdraw>(actions).at(0).reply;
+  ASSERT_EQ(reply.reports.size(), 5U);
+  EXPECT_EQ(reply.reports[0].status, TaskStatus::kRunning);
+  EXPECT_EQ(reply.reports[1].status, TaskStatus::kFinished);
+  EXPECT_TRUE(reply.reports[1].outcome->ok);
+  EXPECT_EQ(reply.reports[2].status, TaskStatus::kRunning);
+  EXPECT_EQ(reply.reports[3].status, TaskStatus::kNotRun);
+  EXPECT_EQ(reply.reports[4].status, TaskStatus::kNotRun);
+  EXPECT_EQ(Select<StopOnEndpoint>(actions).size(), 2U);
+  EXPECT_TRUE(this->StartReplyOf(this->Start(3, {MakeTask(1, 9)})).repeated);
+}
+
+// The reports of another incarnation say nothing about the tasks that the sender asks for.
+TEST_F(AgentCoreTest, WithdrawForAnotherIncarnationReportsNothing) {
+  const WithdrawRequest request{kOwnerId, {9, 9}, {WithdrawItem{1, MakeTask(1)}}, false};
+  const auto actions = this->Handle(WithdrawReceived{1, request});
+  EXPECT_EQ(Select<ReplyWithdraw>(actions).at(0).reply.agent, kAgentId);
+  EXPECT_TRUE(Select<ReplyWithdraw>(actions).at(0).reply.reports.empty());
+}
+
+// A delayed duplicate of a withdrawal would otherwise silently drop the task.
+TEST_F(AgentCoreTest, StaleWithdrawLeavesLaterStartAlone) {
+  const WithdrawRequest stale{kOwnerId, kAgentId, {WithdrawItem{1, MakeTask(1, 2)}}, false};
+  this->Handle(WithdrawReceived{1, stale});
+  this->Start(2, {MakeTask(1, 0), MakeTask(1, 1), MakeTask(1, 2)});
+  this->Handle(WithdrawReceived{1, stale});
+  EXPECT_EQ(Select<StartOnEndpoint>(this->Finish(MakeTask(1, 0))).size(), 1U);
+}
+
+TEST_F(AgentCoreTest, SealReportsEverythingAndWithdrawsTheQueue) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1), MakeTask(1, 2)});
+  this->Finish(MakeTask(1, 0));
+  this->Start(2, {MakeTask(1, 3)});
+  const SealReply reply = this->Seal(MakeTask(1).ticket);
+  EXPECT_FALSE(reply.maybe_started);
+  ASSERT_EQ(reply.reports.size(), 4U);
+  EXPECT_EQ(reply.reports[0].status, TaskStatus::kFinished);
+  EXPECT_EQ(reply.reports[1].status, TaskStatus::kRunning);
+  EXPECT_EQ(reply.reports[3].status, TaskStatus::kNotRun);
+  EXPECT_TRUE(Select<StartOnEndpoint>(this->Finish(MakeTask(1, 1))).empty());
+}
+
+TEST_F(AgentCoreTest, SealAfterDiscardSaysMaybeStarted) {
+  this->Start(1, {MakeTask(1)});
+  const auto sent = Select<SendOutcomes>(this->Finish(MakeTask(1)));
+  ASSERT_EQ(sent.size(), 1U);
+  this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, OutcomesReply{kOwnerId, 0}});
+  EXPECT_EQ(this->Seal(MakeTask(1).ticket).reports.size(), 1U);
+  this->Handle(Tick{}, 600000);
+  const SealReply late = this->Seal(MakeTask(1).ticket);
+  EXPECT_TRUE(late.maybe_started);
+  EXPECT_TRUE(late.reports.empty());
+}
+
+// After a freeze nobody waits for the queued tasks any more.
+TEST_F(AgentCoreTest, FrozenAgentDoesNotStartWhatIsOver) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1), MakeTask(1, 2)}, Milliseconds(500));
+  this->now += Milliseconds(20000);
+  const auto actions = this->Finish(MakeTask(1, 0));
+  EXPECT_TRUE(Select<StartOnEndpoint>(actions).empty());
+  const auto sent = Select<SendOutcomes>(actions);
+  ASSERT_EQ(sent.size(), 1U);
+  ASSERT_EQ(sent[0].message.outcomes.size(), 2U);
+  EXPECT_EQ(sent[0].message.outcomes[1].reason, "expired");
+}
+
+TEST_F(AgentCoreTest, BrokenConnectionIsNoProofAndRefusalIs) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1)});
+  const auto lost =
+      this->Handle(EndpointFinished{MakeTask(1, 0), Error{ErrorKind::kTimeout, "closed"}});
+  EXPECT_EQ(Select<SendOutcomes>(lost).at(0).message.outcomes.at(0).reason, "endpoint_lost");
+  EXPECT_EQ(Select<CheckEndpoint>(lost).size(), 1U);
+  this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1, 0)}, OutcomesReply{kOwnerId, 0}});
+  const auto refused = this->Handle(EndpointRefused{MakeTask(1, 1), "slots"});
+  EXPECT_EQ(Select<SendOutcomes>(refused).at(0).message.outcomes.at(0).reason, "not_run");
+}
+
+// The outcomes belong to the incarnation that is gone; its successor cannot acknowledge them.
+TEST_F(AgentCoreTest, AnotherIncarnationAcknowledgesNothing) {
+  this->Start(1, {MakeTask(1)});
+  this->Finish(MakeTask(1));
+  const auto actions =
+      this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, OutcomesReply{{8, 8}, 0}});
+  EXPECT_EQ(Select<SendAnnounce>(actions).size(), 1U);
+  EXPECT_TRUE(Select<SendOutcomes>(this->Handle(Tick{}, 60000)).empty());
+  EXPECT_EQ(this->Seal(MakeTask(1).ticket).reports.at(0).status, TaskStatus::kFinished);
+}
+
+TEST_F(AgentCoreTest, LeavesWhenTasksAndOutcomesAreDone) {
+  this->Handle(AnnounceReplied{kOwnerAddress, AnnounceReply()});
+  this->Start(1, {MakeTask(1)});
+  const auto announced = Select<SendAnnounce>(this->Handle(LeaveRequested{}));
+  ASSERT_EQ(announced.size(), 1U);
+  EXPECT_TRUE(announced[0].message.load.leaving);
+  this->Handle(AnnounceReplied{kOwnerAddress, AnnounceReply()});
+  this->Finish(MakeTask(1));
+  EXPECT_TRUE(Select<Departed>(this->Handle(Tick{}, 1000)).empty()) << "outcome not acknowledged";
+  const auto acknowledged =
+      this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, OutcomesReply{kOwnerId, 0}});
+  EXPECT_EQ(Select<Departed>(acknowledged).size(), 1U);
+  EXPECT_TRUE(Select<Departed>(this->Handle(Tick{}, 1000)).empty()) << "departs once";
+}
+
+TEST_F(AgentCoreTest, FetchesNewerConfigurationOnce) {
+  AnnounceReply reply;
+  reply.configuration_version = 3;
+  EXPECT_EQ(Select<FetchConfiguration>(this->Handle(AnnounceReplied{kOwnerAddress, reply})).size(),
+            1U);
+  EXPECT_TRUE(
+      Select<FetchConfiguration>(this->Handle(AnnounceReplied{kOwnerAddress, reply})).empty());
+  auto configuration = std::make_shared<ServiceConfiguration>();
+  configuration->version = 3;
+  this->Handle(AgentConfigurationChanged{configuration});
+  configuration = std::make_shared<ServiceConfiguration>();
+  configuration->version = 2;
+  this->Handle(AgentConfigurationChanged{configuration});
+  EXPECT_EQ(this->core.Load().configuration_version, 3U) << "versions only move up";
+}
+
+}  // namespace
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/agent/agent_fixture.h
@@ -0,0 +1,55 @@
+/// Identities and messages shared by the agent's tests.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/agent_core.h"
+
+namespace quetzalvale {
+
+inline constexpr Incarnation kAgentId{1, 1};
+inline constexpr Incarnation kOwnerId{2, 2};
+inline constexpr char kOwnerAddress[] = "127.0.0.1:1";
+
+inline TaskKey MakeTask(std::uint64_t sequence, std::uint32_t index = 0,
+                        Incarnation owner = kOwnerId) {
+  return TaskKey{Ticket{"s", owner, sequence, 1}, index};
+}
+
+inline AgentIdentity MakeIdentity(int slots) {
+  AgentIdentity identity{kAgentId, "a", "s", "dc", "127.0.0.1:9", {}};
+  identity.worker.slots = slots;
+  identity.worker.connections = slots;
+  return identity;
+}
+
+inline StartRequest MakeStart(std::uint64_t channel_sequence, const std::vector<TaskKey>& tasks,
+                              Milliseconds time_left = Milliseconds(10000)) {
+  StartRequest request;
+  request.owner = tasks.front().ticket.owner;
+  request.owner_address = kOwnerAddress;
+  request.agent = kAgentId;
+  request.channel_sequence = channel_sequence;
+  request.lease = Milliseconds(3000);
+  for (const auto& task : tasks) {
+    request.items.push_back(StartItem{task, "k", TaskSpec(), time_left});
+  }
+  return request;
+}
+
+/// Returns the actions of one type, in order.
+template <typename T>
+std::vector<T> Select(const std::vector<AgentAction>& actions) {
+  std::vector<T> selected;
+  for (const auto& action : actions) {
+    if (const T* match = std::get_if<T>(&action)) {
+      selected.push_back(*match);
+    }
+  }
+  return selected;
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/agent/agent_property_test.cc
@@ -0,0 +1,462 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/agent_core.h"
+#include "tests/agent/agent_fixture.h"
+
+namespace quetzalvale {
+namespace {
+
+constexpr int kSeeds = 40;
+constexpr int kEventsPerSeed = 10000;
+constexpr Incarnation kOtherAgent{1, 99};
+/// Messages older than this are lost. Shorter than the retention of records, as in real use.
+constexpr Milliseconds kLongestDelay{1500};
+constexpr Milliseconds kRetention{2000};
+
+/// What the owner of a task believes.
+struct OwnerView {
+  /// A start was sent and is not settled.
+  bool open = false;
+  bool settled = false;
+  std::uint64_t sequence = 0;
+  int placements = 0;
+};
+
+/// What is true.
+struct Truth {
+  int handed_over = 0;
+  bool refused_by_endpoint = false;
+  /// Highest start that was delivered, and highest one that was declared "not run".
+  std::uint64_t delivered = 0;
+  std::uint64_t declared = 0;
+  bool has_ended = false;
+
+  bool MayHaveRun() const { return this->handed_over > 0 && !this->refused_by_endpoint; }
+};
+
+/// One agent, its endpoint, and owners behind a network that loses, repeats and reorders.
+class Simulation {
+ public:
+  Simulation(std::uint64_t seed, AgentGuards guards)
+      : random(seed),
+        core(MakeIdentity(3), {kOwnerAddress}, std::move(guards),
+             TaskStore::Limits{40, 1U << 20U, kRetention}, 200,
+             SealedTickets::Limits{20, 60, 100}) {
+    this->Feed(EndpointChecked{true});
+  }
+
+  /// Returns the first violation, or an empty text.
+  std::string Run(int events) {
+    while (this->handled < events && this->violation.empty()) {
+      this->Step();
+    }
+    if (this->violation.empty()) {
+      this->Settle();
+    }
+    return this->violation;
+  }
+
+  int Handled() const { return this->handled; }
+
+  /// How often something happened that the properties are about.
+  const std::map<std::string, int>& Seen() const { return this->seen; }
+
+ private:
+  struct Message {
+    Time sent;
+    AgentEvent event;
+  };
+
+  std::uint64_t Pick(std::uint64_t bound) { return this->random() % bound; }
+
+  /// Owners are replaced over time, or all of them would end up sealed.
+  Incarnation PickOwner() {
+    return Incarnation{2, 2 + static_cast<std::uint64_t>(this->handled) / 500 + this->Pick(3)};
+  }
+
+  void Fail(const std::string& what, const TaskKey& task) {
+    if (this->violation.empty()) {
+      this->violation = what + " task=" + task.Text() + " event=" + std::to_string(this->handled);
+    }
+  }
+
+  void Step() {
+    switch (this->Pick(12)) {
+      case 0:
+      case 1:
+        return this->SendNewStart();
+      case 2:
+        return this->WithdrawSome();
+      case 3:
+        return this->Pick(20) == 0 ? this->SealSome() : this->Pass();
+      case 4:
+      case 5:
+        return this->EndOneOnEndpoint();
+      case 6:
+        return this->Pass();
+      default:
+        return this->DeliverOne();
+    }
+  }
+
+  void Pass() {
+    const bool frozen = this->Pick(40) == 0;
+    this->now += Milliseconds(frozen ? this->Pick(5000) : this->Pick(30));
+    this->Feed(Tick{});
+    if (std::exchange(this->check_under_way, false)) {
+      this->Feed(EndpointChecked{this->Pick(4) != 0});
+    }
+  }
+
+  /// Starts new tasks, or again those that were proven "not run".
+  void SendNewStart() {
+    const Incarnation owner = this->PickOwner();
+    const std::uint64_t sequence = ++this->channel_sequences[owner];
+    std::vector<TaskKey> tasks;
+    for (auto& [task, view] : this->owners) {
+      if (task.ticket.owner == owner && !view.open && !view.settled && view.placements < 4) {
+        tasks.push_back(task);
+        break;
+      }
+    }
+    const std::uint64_t ticket = ++this->tickets[owner];
+    tasks.push_back(MakeTask(ticket / 2, static_cast<std::uint32_t>(ticket % 2), owner));
+    for (const auto& task : tasks) {
+      OwnerView& view = this->owners[task];
+      view.open = true;
+      view.sequence = sequence;
+      ++view.placements;
+    }
+    StartRequest request = MakeStart(sequence, tasks, Milliseconds(this->Pick(400)));
+    if (this->Pick(20) == 0) {
+      request.agent = kOtherAgent;
+    }
+    this->Send(StartReceived{sequence, request});
+  }
+
+  void WithdrawSome() {
+    WithdrawRequest request;
+    request.agent = kAgentId;
+    request.owner = this->PickOwner();
+    request.stop_running = this->Pick(4) == 0;
+    for (const auto& [task, view] : this->owners) {
+      if (view.open && task.ticket.owner == request.owner && this->Pick(4) == 0) {
+        request.items.push_back(WithdrawItem{view.sequence, task});
+      }
+    }
+    if (!request.items.empty()) {
+      this->Send(WithdrawReceived{1, request});
+    }
+  }
+
+  void SealSome() {
+    if (!this->owners.empty()) {
+      auto it = this->owners.begin();
+      std::advance(it, static_cast<std::ptrdiff_t>(this->Pick(this->owners.size())));
+      this->Send(SealReceived{1, SealRequest{it->first.ticket, Incarnation{7, 7}}});
+    }
+  }
+
+  void EndOneOnEndpoint() {
+    if (this->running.empty()) {
+      return;
+    }
+    auto it = this->running.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(this->Pick(this->running.size())));
+    const TaskKey task = *it;
+    this->running.erase(it);
+    Outcome outcome;
+    outcome.task = task;
+    switch (this->Pick(6)) {
+      case 0:
+        this->truth[task].refused_by_endpoint = true;
+        return this->Feed(EndpointRefused{task, "unreachable"});
+      case 1:
+        this->truth[task].has_ended = true;
+        return this->Feed(EndpointFinished{task, Error{ErrorKind::kTimeout, "broken"}});
+      case 2:
+        outcome.reason = "not_run";
+        break;
+      default:
+        outcome.ok = true;
+    }
+    this->truth[task].has_ended = true;
+    this->Feed(EndpointFinished{task, outcome});
+  }
+
+  void Send(AgentEvent event) { this->network.push_back(Message{this->now, std::move(event)}); }
+
+  void DeliverOne() {
+    if (this->network.empty()) {
+      return this->Pass();
+    }
+    const auto position = static_cast<std::ptrdiff_t>(this->Pick(this->network.size()));
+    const Message message = this->network[static_cast<std::size_t>(position)];
+    if (this->Pick(3) != 0) {  // Otherwise a copy stays under way.
+      this->network.erase(this->network.begin() + position);
+    }
+    if (this->now - message.sent <= kLongestDelay && this->Pick(10) != 0) {
+      this->Feed(message.event);
+    }
+  }
+
+  void Feed(const AgentEvent& event) {
+    ++this->handled;
+    if (const auto* start = std::get_if<StartReceived>(&event)) {
+      for (const auto& item : start->message.items) {
+        if (start->message.agent == kAgentId) {
+          Truth& truth = this->truth[item.task];
+          truth.delivered = std::max(truth.delivered, start->message.channel_sequence);
+        }
+      }
+    }
+    if (const auto* seal = std::get_if<SealReceived>(&event)) {
+      this->sealed.insert(seal->message.ticket);
+    }
+    for (const auto& action : this->core.Handle(this->now, event)) {
+      this->Check(event, action);
+    }
+  }
+
+  void Check(const AgentEvent& event, const AgentAction& action) {
+    if (const auto* start = std::get_if<StartOnEndpoint>(&action)) {
+      this->CheckHandOver(*start);
+    } else if (const auto* reply = std::get_if<ReplyStart>(&action)) {
+      this->TakeStartReply(std::get<StartReceived>(event).message, reply->reply);
+    } else if (const auto* withdrawn = std::get_if<ReplyWithdraw>(&action)) {
+      this->TakeWithdrawReply(std::get<WithdrawReceived>(event).message, withdrawn->reply);
+    } else if (const auto* salvage = std::get_if<ReplySeal>(&action)) {
+      this->CheckSeal(std::get<SealReceived>(event).message.ticket, salvage->reply);
+    } else if (const auto* send = std::get_if<SendOutcomes>(&action)) {
+      this->TakeOutcomes(*send);
+    } else if (std::holds_alternative<CheckEndpoint>(action)) {
+      this->check_under_way = true;
+    }
+  }
+
+  void CheckHandOver(const StartOnEndpoint& start) {
+    Truth& truth = this->truth[start.task];
+    ++this->seen["handed_over"];
+    if (++truth.handed_over > 1 && !truth.refused_by_endpoint) {
+      this->Fail("handed over twice", start.task);
+    }
+    truth.refused_by_endpoint = false;
+    if (truth.delivered <= truth.declared) {
+      this->Fail("handed over after it was declared not run", start.task);
+    }
+    if (this->sealed.contains(start.task.ticket)) {
+      this->Fail("handed over although sealed", start.task);
+    }
+    if (start.time_left <= Milliseconds(0)) {
+      this->Fail("handed over without time left", start.task);
+    }
+    if (!this->owners[start.task].open) {
+      this->Fail("handed over without an open start", start.task);
+    }
+    this->running.insert(start.task);
+  }
+
+  /// The agent declared that the starts of the task up to this sequence did and will not run.
+  void Declare(const TaskKey& task, std::uint64_t sequence) {
+    Truth& truth = this->truth[task];
+    truth.declared = std::max(truth.declared, sequence);
+    if (truth.MayHaveRun()) {
+      this->Fail("declared not run although handed over", task);
+    }
+  }
+
+  void TakeStartReply(const StartRequest& request, const StartReply& reply) {
+    const bool lost = this->Pick(6) == 0;
+    this->seen["repeated"] += reply.repeated ? 1 : 0;
+    for (std::size_t i = 0; i < reply.decisions.size(); ++i) {
+      ++this->seen["decision_" + std::to_string(static_cast<int>(reply.decisions[i]))];
+      const TaskKey& task = request.items[i].task;
+      OwnerView& view = this->owners[task];
+      if (reply.decisions[i] == StartRefusal::kWrongIncarnation) {
+        this->CloseIfCurrent(lost, view, request.channel_sequence);
+      } else if (reply.decisions[i] != StartRefusal::kNone) {
+        this->Declare(task, request.channel_sequence);
+        this->CloseIfCurrent(lost, view, request.channel_sequence);
+      }
+    }
+    for (const auto& outcome : reply.outcomes) {
+      this->owners[outcome.task].settled = this->owners[outcome.task].settled || !lost;
+    }
+  }
+
+  void CloseIfCurrent(bool lost, OwnerView& view, std::uint64_t sequence) {
+    if (!lost && view.sequence == sequence) {
+      view.open = false;
+    }
+  }
+
+  void TakeWithdrawReply(const WithdrawRequest& request, const WithdrawReply& reply) {
+    const bool lost = this->Pick(6) == 0;
+    for (std::size_t i = 0; i < reply.reports.size(); ++i) {
+      const TaskReport& report = reply.reports[i];
+      ++this->seen["withdrawn_" + std::to_string(static_cast<int>(report.status))];
+      OwnerView& view = this->owners[report.task];
+      if (report.status == TaskStatus::kNotRun) {
+        this->Declare(report.task, request.items[i].channel_sequence);
+        this->CloseIfCurrent(lost, view, request.items[i].channel_sequence);
+      } else if (report.status == TaskStatus::kFinished && !lost) {
+        view.settled = true;
+      }
+    }
+  }
+
+  void CheckSeal(const Ticket& ticket, const SealReply& reply) {
+    if (reply.maybe_started) {
+      ++this->seen["maybe_started"];
+      return;
+    }
+    for (std::uint32_t index = 0; index < 2; ++index) {
+      const TaskKey task{ticket, index};
+      const auto found =
+          std::find_if(reply.reports.begin(), reply.reports.end(),
+                       [&](const TaskReport& report) { return report.task == task; });
+      const bool not_run = found == reply.reports.end() || found->status == TaskStatus::kNotRun;
+      if (not_run && this->truth[task].MayHaveRun()) {
+        this->Fail("salvage was told not run", task);
+      }
+    }
+  }
+
+  void TakeOutcomes(const SendOutcomes& send) {
+    std::vector<TaskKey> tasks;
+    const bool lost = this->Pick(6) == 0;
+    for (const auto& outcome : send.message.outcomes) {
+      tasks.push_back(outcome.task);
+      ++this->seen["outcome_" + outcome.reason];
+      OwnerView& view = this->owners[outcome.task];
+      if (!outcome.ok && (outcome.reason == "not_run" || outcome.reason == "expired")) {
+        this->Declare(outcome.task, this->truth[outcome.task].delivered);
+        view.open = view.open && lost;
+      } else if (!lost) {
+        view.settled = true;
+      }
+    }
+    Result<OutcomesReply> reply = OutcomesReply{send.message.owner, 0};
+    if (lost || this->Pick(8) == 0) {
+      reply = Error{ErrorKind::kTimeout, "lost"};
+    }
+    this->Send(OutcomesReplied{send.message.owner, tasks, reply});
+  }
+
+  /// The network heals: everything that ended must reach its owner.
+  void Settle() {
+    this->network.clear();
+    while (!this->running.empty()) {
+      this->EndOneOnEndpoint();
+    }
+    for (int i = 0; i < 2000 && this->violation.empty(); ++i) {
+      this->now += Milliseconds(100);
+      this->Feed(EndpointChecked{true});
+      while (!this->network.empty()) {
+        const AgentEvent event = this->network.front().event;
+        this->network.pop_front();
+        this->Feed(event);
+      }
+      while (!this->running.empty()) {
+        this->EndOneOnEndpoint();
+      }
+    }
+    for (const auto& [task, truth] : this->truth) {
+      if (truth.has_ended && !this->owners[task].settled) {
+        this->Fail("outcome lost", task);
+      }
+    }
+  }
+
+  Random random;
+  AgentCore core;
+  Time now{std::chrono::seconds(1000)};
+  int handled = 0;
+  bool check_under_way = false;
+  std::map<std::string, int> seen;
+  std::string violation;
+  std::deque<Message> network;
+  std::map<TaskKey, OwnerView> owners;
+  std::map<TaskKey, Truth> truth;
+  std::set<TaskKey> running;
+  std::set<Ticket> sealed;
+  std::map<Incarnation, std::uint64_t> channel_sequences;
+  std::map<Incarnation, std::uint64_t> tickets;
+};
+
+/// Returns the first violation over all seeds.
+std::string FirstViolation(const AgentGuards& guards) {
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    const std::string violation = Simulation(seed, guards).Run(kEventsPerSeed);
+    if (!violation.empty()) {
+      return "seed=" + std::to_string(seed) + " " + violation;
+    }
+  }
+  return "";
+}
+
+// Guarantees 1, 4 and 5 at the agent: no double start, no false "not run", no lost outcome.
+TEST(AgentPropertyTest, KeepsItsPromisesOverLossyNetworks) {
+  int handled = 0;
+  std::map<std::string, int> seen;
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, AgentGuards());
+    EXPECT_EQ(simulation.Run(kEventsPerSeed), "") << "seed=" << seed;
+    handled += simulation.Handled();
+    for (const auto& [what, count] : simulation.Seen()) {
+      seen[what] += count;
+    }
+  }
+  // A simulation that never reaches these cases proves nothing about them.
+  for (const char* what :
+       {"handed_over", "repeated", "decision_0", "decision_1", "decision_3", "decision_4",
+        "decision_5", "decision_6", "withdrawn_0", "withdrawn_1", "withdrawn_2", "maybe_started",
+        "outcome_", "outcome_not_run", "outcome_expired", "outcome_endpoint_lost",
+        "outcome_endpoint_not_run"}) {
+    EXPECT_GE(seen[what], 100) << what;
+    RecordProperty(what, seen[what]);
+  }
+  EXPECT_GE(handled, 300000);
+}
+
+// Each of these shows that the simulation finds the fault that the guard prevents.
+TEST(AgentPropertyTest, FailsWithoutTheChannelWindow) {
+  AgentGuards guards;
+  guards.accept_sequence = [](auto&&...) { return true; };
+  EXPECT_NE(FirstViolation(guards), "");
+}
+
+TEST(AgentPropertyTest, FailsWithoutTheSealedCheck) {
+  AgentGuards guards;
+  guards.is_sealed = [](auto&&...) { return false; };
+  EXPECT_NE(FirstViolation(guards).find("although sealed"), std::string::npos);
+}
+
+TEST(AgentPropertyTest, FailsWithoutTheMemoryOfStartedTasks) {
+  AgentGuards guards;
+  guards.ask_started = [](auto&&...) { return StartedAnswer::kNever; };
+  EXPECT_NE(FirstViolation(guards), "");
+}
+
+TEST(AgentPropertyTest, FailsWithoutTheTimeLeftCheck) {
+  AgentGuards guards;
+  guards.has_time_left = [](auto&&...) { return true; };
+  EXPECT_NE(FirstViolation(guards).find("without time left"), std::string::npos);
+}
+
+TEST(AgentPropertyTest, FailsWithoutTheIncarnationCheck) {
+  AgentGuards guards;
+  guards.same_incarnation = [](auto&&...) { return true; };
+  EXPECT_NE(FirstViolation(guards), "");
+}
+
+}  // namespace
+}  // namespace quetzalvale
