--- /dev/null
+++ b/src/core/admission.cc
@@ -0,0 +1,139 @@
+#include "core/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+namespace quetzalvale {
+namespace {
+
+/// The wait behind many tasks is known well once their kinds are learned. The margin keeps a
+/// saturated queue short enough that what was taken still meets its deadline.
+constexpr double kLearnedWaitFactor = 1.1;
+
+/// With unlearned kinds the queue's size is a guess, so only twice the deadline is refused.
+constexpr double kUnlearnedWaitFactor = 0.5;
+
+/// One task may run in half its expected time, on a faster endpoint or because runs vary.
+constexpr double kOwnRunFactor = 0.5;
+
+Error MakeError(ErrorKind kind, std::string message) { return Error{kind, std::move(message)}; }
+
+bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
+
+std::optional<Error> CheckNames(const ServiceConfiguration& configuration,
+                                const Submission& submission) {
+  if (configuration.FindKind(submission.kind) == nullptr) {
+    return MakeError(ErrorKind::kUnknownKind,
+                     "kind \"" + submission.kind + "\" is not configured in service \"" +
+                         configuration.service + "\"; use one of its kinds or add it");
+  }
+  // A service without teams has no quotas to keep and takes every caller.
+  if (!configuration.teams.empty() && configuration.FindTeam(submission.team) == nullptr) {
+    return MakeError(ErrorKind::kUnknownTeam,
+                     "team \"" + submission.team + "\" is not configured in service \"" +
+                         configuration.service + "\"; use one of its teams or add it");
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> CheckTask(const ServiceConfiguration::WorkerLimits& limits,
+                               const TaskSpec& task, std::size_t index) {
+  const std::string name = "task " + std::to_string(index);
+  if (!IsAmount(task.cores) || task.memory_mb < 0 || task.accelerators < 0 ||
+      task.declared.count() < 0) {
+    return MakeError(ErrorKind::kMalformed,
+                     name + " declares a negative amount; declare zero or more");
+  }
+  if (task.cores > limits.cores) {
+    return MakeError(ErrorKind::kNeverFits, name + " needs " + std::to_string(task.cores) +
+                                                " cores and no worker has more than " +
+                                                std::to_string(limits.cores) + "; declare less");
+  }
+  if (task.memory_mb > limits.memory_mb) {
+    return MakeError(ErrorKind::kNeverFits, name + " needs " + std::to_string(task.memory_mb) +
+                                                " MB and no worker has more than " +
+                                                std::to_string(limits.memory_mb) +
+                                                " MB; declare less");
+  }
+  if (task.accelerators > limits.accelerators) {
+    return MakeError(ErrorKind::kNeverFits, name + " needs " + std::to_string(task.accelerators) +
+                                                " accelerators and no worker has more than " +
+                                                std::to_string(limits.accelerators) +
+                                                "; declare less");
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> CheckTasks(const ServiceConfiguration& configuration,
+                                const Submission& submission) {
+  if (submission.tasks.empty()) {
+    return MakeError(ErrorKind::kMalformed, "the job has no tasks; submit at least one");
+  }
+  if (submission.tasks.size() > configuration.limits.tasks_per_job) {
+    return MakeError(ErrorKind::kTooManyTasks,
+                     "the job has " + std::to_string(submission.tasks.size()) +
+                         " tasks and the limit is " +
+                         std::to_string(configuration.limits.tasks_per_job) + "; split it");
+  }
+  for (std::size_t i = 0; i < submission.tasks.size(); ++i) {
+    if (auto error = CheckTask(configuration.worker_limits, submission.tasks[i], i)) {
+      return error;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Error> CheckDeadline(const ServiceConfiguration& configuration,
+                                   const RunTimeModel& model, const LoadView& load,
+                                   const Submission& submission) {
+  const Milliseconds deadline = submission.deadline.count() > 0
+                                    ? submission.deadline
+                                    : configuration.FindKind(submission.kind)->deadline;
+  double work = 0;
+  double longest = 0;
+  for (const TaskSpec& task : submission.tasks) {
+    const auto expected =
+        static_cast<double>(model.Expected(submission.kind, task.declared).count());
+    work += expected;
+    longest = std::max(longest, expected);
+  }
+  const double slots = std::max(load.effective_slots, 1.0);
+  // Tasks under way have on average half of their run behind them.
+  const double ahead = static_cast<double>(load.queued_work.count()) +
+                       static_cast<double>(load.outstanding_work.count()) / 2;
+  const bool learned = model.IsLearned(submission.kind);
+  const double wait = ahead / slots * (learned ? kLearnedWaitFactor : kUnlearnedWaitFactor);
+  const double own = learned ? std::max(work / slots, longest) * kOwnRunFactor : 0;
+  const double finish_ms = (wait + own) / 1000;
+  if (finish_ms <= static_cast<double>(deadline.count())) {
+    return std::nullopt;
+  }
+  return MakeError(ErrorKind::kDeadlineUnreachable,
+                   "the job is expected to finish in " + std::to_string(std::llround(finish_ms)) +
+                       " ms and its deadline is " + std::to_string(deadline.count()) +
+                       " ms; submit again later or with a longer deadline");
+}
+
+}  // namespace
+
+std::optional<Error> CheckAdmission(const ServiceConfiguration& configuration,
+                                    const RunTimeModel& model, const LoadView& load,
+                                    const Submission& submission) {
+  if (auto error = CheckNames(configuration, submission)) return error;
+  if (auto error = CheckTasks(configuration, submission)) return error;
+  if (!load.has_agents) {
+    return MakeError(ErrorKind::kNotReady,
+                     "no endpoint of the service is known to this entry; submit again later");
+  }
+  const std::uint64_t queued = std::uint64_t{load.queued_tasks} + submission.tasks.size();
+  if (queued > configuration.limits.queued_tasks) {
+    return MakeError(ErrorKind::kOverloaded, std::to_string(load.queued_tasks) +
+                                                 " tasks are queued and the limit is " +
+                                                 std::to_string(configuration.limits.queued_tasks) +
+                                                 "; submit again later");
+  }
+  return CheckDeadline(configuration, model, load, submission);
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/health_tracker.cc
@@ -0,0 +1,87 @@
+#include "core/health_tracker.h"
+
+#include <algorithm>
+
+namespace quetzalvale {
+namespace {
+
+/// The pause between probes doubles up to this multiple of the first one, so that a repaired
+/// endpoint is back within about a minute at the default of 2 s.
+constexpr int kLongestPause = 32;
+
+}  // namespace
+
+HealthTracker::HealthTracker(std::uint32_t eject_after, Milliseconds probe_after)
+    : eject_after(eject_after), probe_after(probe_after) {}
+
+void HealthTracker::SetLimits(std::uint32_t new_eject_after, Milliseconds new_probe_after) {
+  this->eject_after = new_eject_after;
+  this->probe_after = new_probe_after;
+}
+
+bool HealthTracker::Record(std::string_view endpoint, bool ok, Time now) {
+  auto found = this->endpoints.find(endpoint);
+  if (found == this->endpoints.end()) {
+    if (ok) {
+      return false;
+    }
+    found = this->endpoints.emplace(std::string(endpoint), State{}).first;
+  }
+  State& state = found->second;
+  if (state.ejected) {
+    // Without a probe under way this is a task from before the ejection and says nothing new.
+    if (!state.probing) {
+      return false;
+    }
+    state.probing = false;
+    if (ok) {
+      this->endpoints.erase(found);
+      return false;
+    }
+    state.pause = std::min(state.pause * 2, this->probe_after * kLongestPause);
+    state.next_probe = now + state.pause;
+    return false;
+  }
+  if (ok) {
+    state.consecutive_failures = 0;
+    return false;
+  }
+  ++state.consecutive_failures;
+  if (this->eject_after == 0 || state.consecutive_failures < this->eject_after) {
+    return false;
+  }
+  state.ejected = true;
+  state.probing = false;
+  state.pause = this->probe_after;
+  state.next_probe = now + state.pause;
+  return true;
+}
+
+bool HealthTracker::IsAvailable(std::string_view endpoint) const {
+  const auto found = this->endpoints.find(endpoint);
+  return found == this->endpoints.end() || !found->second.ejected;
+}
+
+bool HealthTracker::MayProbe(std::string_view endpoint, Time now) const {
+  const auto found = this->endpoints.find(endpoint);
+  return found != this->endpoints.end() && found->second.ejected && now >= found->second.next_probe;
+}
+
+void HealthTracker::ProbeSent(std::string_view endpoint, Time now) {
+  const auto found = this->endpoints.find(endpoint);
+  if (found == this->endpoints.end() || !found->second.ejected) {
+    return;
+  }
+  found->second.probing = true;
+  // A probe whose outcome never arrives must not keep the endpoint ejected for ever.
+  found->second.next_probe = now + found->second.pause;
+}
+
+void HealthTracker::Forget(std::string_view endpoint) {
+  const auto found = this->endpoints.find(endpoint);
+  if (found != this->endpoints.end()) {
+    this->endpoints.erase(found);
+  }
+}
+
+}  // namespace quetzalvale
--- a/src/core/health_tracker.h
+++ b/src/core/health_tracker.h
@@ -17,7 +17,7 @@
   HealthTracker(std::uint32_t eject_after, Milliseconds probe_after);
 
   /// Changes the limits; the state of endpoints stays.
-  void SetLimits(std::uint32_t eject_after, Milliseconds probe_after);
+  void SetLimits(std::uint32_t new_eject_after, Milliseconds new_probe_after);
 
   /// Returns true when this outcome ejects the endpoint.
   bool Record(std::string_view endpoint, bool ok, Time now);
@@ -37,6 +37,8 @@
   struct State {
     std::uint32_t consecutive_failures = 0;
     bool ejected = false;
+    /// A probe was sent and its outcome is not known yet.
+    bool probing = false;
     Milliseconds pause{0};
     Time next_probe{};
   };
--- /dev/null
+++ b/src/core/placement.cc
@@ -0,0 +1,133 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace quetzalvale {
+namespace {
+
+/// Extra round trip to another data centre, as in both deployments.
+constexpr double kOtherDataCentreUs = 1000;
+
+/// Finishes closer than this are equal: run times are not known better, and entries that all pick
+/// the same best agent would collide there.
+constexpr double kEqualFinish = 0.02;
+
+/// Leaving a task at the entry costs a round trip when the slot becomes free, and the expected wait
+/// is uncertain, so the busy endpoint must win by this factor.
+constexpr double kWaitAdvantage = 0.9;
+
+using Choice = std::optional<std::size_t>;
+
+std::size_t Draw(std::size_t count, Random& random) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+double RunUs(const Candidate& candidate, const PlacementQuery& query) {
+  return static_cast<double>(query.expected.count()) / std::max(candidate.speed, 1e-3);
+}
+
+double FinishUs(const Candidate& candidate, const PlacementQuery& query) {
+  return static_cast<double>(candidate.expected_wait.count()) + RunUs(candidate, query) +
+         (candidate.same_data_centre ? 0 : kOtherDataCentreUs);
+}
+
+/// Expected finish at a busy agent, behind the tasks that this entry left waiting already. Those
+/// are spread over the slots of all busy agents.
+double BusyFinishUs(const Candidate& candidate, const PlacementQuery& query, double busy_slots) {
+  const double ahead = query.waiting_ahead / std::max(1.0, busy_slots);
+  return FinishUs(candidate, query) + ahead * RunUs(candidate, query);
+}
+
+/// Picks evenly among the free candidates whose finish is about the earliest.
+Choice EarliestFinish(std::span<const Candidate> candidates, const PlacementQuery& query,
+                      Random& random) {
+  double best_free = -1;
+  double busy_slots = 0;
+  for (const Candidate& candidate : candidates) {
+    if (candidate.free_slots <= 0) {
+      busy_slots += candidate.slots;
+      continue;
+    }
+    const double finish = FinishUs(candidate, query);
+    if (best_free < 0 || finish < best_free) best_free = finish;
+  }
+  if (best_free < 0) {
+    return std::nullopt;
+  }
+  Choice chosen;
+  std::size_t equal = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate& candidate = candidates[i];
+    if (candidate.free_slots <= 0) {
+      if (BusyFinishUs(candidate, query, busy_slots) < kWaitAdvantage * best_free) {
+        return std::nullopt;
+      }
+      continue;
+    }
+    if (FinishUs(candidate, query) > best_free * (1 + kEqualFinish)) {
+      continue;
+    }
+    ++equal;
+    if (Draw(equal, random) == 0) chosen = i;
+  }
+  return chosen;
+}
+
+Choice RandomChoice(std::span<const Candidate> candidates, const PlacementQuery& /*query*/,
+                    Random& random) {
+  if (candidates.empty()) return std::nullopt;
+  return Draw(candidates.size(), random);
+}
+
+Choice LeastOutstanding(std::span<const Candidate> candidates, const PlacementQuery& /*query*/,
+                        Random& random) {
+  Choice chosen;
+  std::size_t equal = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const int outstanding = candidates[i].own_outstanding;
+    if (chosen && outstanding > candidates[*chosen].own_outstanding) continue;
+    if (!chosen || outstanding < candidates[*chosen].own_outstanding) equal = 0;
+    ++equal;
+    if (Draw(equal, random) == 0) chosen = i;
+  }
+  return chosen;
+}
+
+Choice PowerOfTwo(std::span<const Candidate> candidates, const PlacementQuery& /*query*/,
+                  Random& random) {
+  if (candidates.empty()) return std::nullopt;
+  const std::size_t first = Draw(candidates.size(), random);
+  const std::size_t second = Draw(candidates.size(), random);
+  const bool second_less = candidates[second].own_outstanding < candidates[first].own_outstanding;
+  return second_less ? second : first;
+}
+
+PlacementHook MakeRoundRobin() {
+  return [next = std::size_t{0}](std::span<const Candidate> candidates,
+                                 const PlacementQuery& /*query*/,
+                                 Random& /*random*/) mutable -> Choice {
+    if (candidates.empty()) return std::nullopt;
+    return next++ % candidates.size();
+  };
+}
+
+}  // namespace
+
+PlacementHook MakePlacement(PlacementPolicy policy) {
+  switch (policy) {
+    case PlacementPolicy::kRandom:
+      return RandomChoice;
+    case PlacementPolicy::kRoundRobin:
+      return MakeRoundRobin();
+    case PlacementPolicy::kLeastOutstanding:
+      return LeastOutstanding;
+    case PlacementPolicy::kPowerOfTwo:
+      return PowerOfTwo;
+    case PlacementPolicy::kDefault:
+      break;
+  }
+  return EarliestFinish;
+}
+
+}  // namespace quetzalvale
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <span>
@@ -34,6 +35,9 @@
   /// Expected run time at speed 1.
   Microseconds expected{0};
   Microseconds time_left{0};
+  /// Tasks at least as urgent that this entry already left waiting in the same round. They take
+  /// the next slots of busy endpoints first.
+  std::uint32_t waiting_ahead = 0;
 };
 
 /// Returns the position of the chosen candidate, or nothing to leave the task waiting at the entry.
