Add the platform client, its stand-in and the thin entry program

cpprestsdk is wrapped in HttpServer and HttpClient, so that its headers are compiled in two units only. Platform writes go out on connections of their own, because cpprestsdk sends a request again when a pooled connection turns out to be closed. An unknown result of a change is resolved by the audit row, that of a key claim by the key's row.

--- /dev/null
+++ b/src/entry/action_runner.cc
@@ -0,0 +1,163 @@
+#include "entry/action_runner.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include "entry/answer_json.h"
+#include "protocol/codec.h"
+#include "runtime/log.h"
+
+namespace quetzalvale {
+namespace {
+
+template <typename Reply>
+Result<Reply> DecodeReply(Result<Json::Value> reply) {
+  if (!IsOk(reply)) {
+    return GetError(reply);
+  }
+  try {
+    return Decode<Reply>(std::get<Json::Value>(reply));
+  } catch (const std::invalid_argument& malformed) {
+    return Error{ErrorKind::kMalformed, malformed.what()};
+  }
+}
+
+}  // namespace
+
+ActionRunner::ActionRunner(Parts parts) : parts(std::move(parts)) {}
+
+void ActionRunner::Run(Time /*posted*/, const EntryEvent& /*event*/,
+                       std::vector<EntryAction> actions) {
+  for (auto& action : actions) {
+    std::visit([this](auto& typed) { this->On(typed); }, action);
+  }
+}
+
+template <typename Reply, typename Message, typename Make>
+void ActionRunner::Send(const std::string& address, const char* method, const Message& message,
+                        Make make) {
+  this->parts.senders.Send(
+      address, method, Encode(message), [this, make = std::move(make)](Result<Json::Value> reply) {
+        this->parts.core.PostResult(make(DecodeReply<Reply>(std::move(reply))));
+      });
+}
+
+void ActionRunner::On(AnswerCaller& action) {
+  this->parts.open.Respond(action.request, RenderAnswer(action.answer));
+}
+
+void ActionRunner::On(GrantTickets& action) {
+  this->parts.open.Respond(action.request, RenderTickets(action.tickets));
+}
+
+void ActionRunner::On(AnswerQuery& action) {
+  if (this->parts.open.Respond(action.request, RenderQuery(action.answer))) {
+    return;
+  }
+  // A peer's cancellation: the answer goes to the job's own waiters.
+  Acknowledgement reply;
+  reply.accepted = IsOk(action.answer);
+  this->parts.inner.Reply(action.request, Encode(reply));
+}
+
+void ActionRunner::On(ClaimKey& action) {
+  const RequestId request = action.request;
+  const bool taken = this->parts.workers.TryRun([this, action] {
+    this->parts.core.PostResult(KeyClaimed{
+        action.request,
+        this->parts.keys.Claim(action.service, action.key, action.body_hash, action.ticket)});
+  });
+  if (!taken) {
+    this->parts.core.PostResult(KeyClaimed{
+        request, Error{ErrorKind::kPlatformUnavailable,
+                       "too many keys wait to be claimed; submit with a ticket instead of a key"}});
+  }
+}
+
+void ActionRunner::On(SendStart& action) {
+  this->Send<StartReply>(action.address, "start", action.message,
+                         [agent = action.message.agent,
+                          sequence = action.message.channel_sequence](Result<StartReply> reply) {
+                           return StartReplied{agent, sequence, std::move(reply)};
+                         });
+}
+
+void ActionRunner::On(SendWithdraw& action) {
+  this->Send<WithdrawReply>(
+      action.address, "withdraw", action.message,
+      [agent = action.message.agent, items = action.message.items](Result<WithdrawReply> reply) {
+        return WithdrawReplied{agent, items, std::move(reply)};
+      });
+}
+
+void ActionRunner::On(SendSeal& action) {
+  this->Send<SealReply>(
+      action.address, "seal", action.message,
+      [agent = action.agent, ticket = action.message.ticket](Result<SealReply> reply) {
+        return SealReplied{agent, ticket, std::move(reply)};
+      });
+}
+
+void ActionRunner::On(SendHello& action) {
+  this->Send<Hello>(action.address, "hello", action.message,
+                    [address = action.address](Result<Hello> reply) {
+                      return HelloReplied{address, std::move(reply)};
+                    });
+}
+
+void ActionRunner::On(SendForward& action) {
+  this->Send<ForwardReply>(
+      action.address, "forward", action.message,
+      [request = action.message.request_id, to = action.to](Result<ForwardReply> reply) {
+        return ForwardReplied{request, to, std::move(reply)};
+      });
+}
+
+void ActionRunner::On(SendAnswer& action) {
+  this->Send<Acknowledgement>(
+      action.address, "answer", action.message,
+      [to = action.message.to, request = action.message.request_id](Result<Acknowledgement> reply) {
+        return AnswerReplied{to, request, std::move(reply)};
+      });
+}
+
+void ActionRunner::On(SendHandOver& action) {
+  this->Send<Acknowledgement>(
+      action.address, "hand_over", action.message,
+      [to = action.to, service = action.message.service](Result<Acknowledgement> reply) {
+        return HandOverReplied{to, service, std::move(reply)};
+      });
+}
+
+void ActionRunner::On(SendCancel& action) {
+  this->parts.senders.Send(action.address, "cancel", Encode(action.message),
+                           [](const Result<Json::Value>&) {});
+}
+
+void ActionRunner::On(ReplyAnnounce& action) {
+  this->parts.inner.Reply(action.request, Encode(action.reply));
+}
+
+void ActionRunner::On(ReplyOutcomes& action) {
+  this->parts.inner.Reply(action.request, Encode(action.reply));
+}
+
+void ActionRunner::On(ReplyHello& action) {
+  this->parts.inner.Reply(action.request, Encode(action.reply));
+}
+
+void ActionRunner::On(ReplyForward& action) {
+  this->parts.inner.Reply(action.request, Encode(action.reply));
+}
+
+void ActionRunner::On(ReplyAcknowledgement& action) {
+  this->parts.inner.Reply(action.request, Encode(action.reply));
+}
+
+void ActionRunner::On(LogEvent& action) {
+  Log(LogLevel::kInfo, action.number, action.name, action.details);
+}
+
+void ActionRunner::On(Departed& /*action*/) { this->parts.departed(); }
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/entry/core_thread.h
@@ -0,0 +1,71 @@
+/// The thread that owns an entry's decision logic.
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <variant>
+#include <vector>
+
+#include "core/entry_core.h"
+#include "runtime/clock.h"
+#include "runtime/event_loop.h"
+
+namespace quetzalvale {
+
+/// Hands events to EntryCore and its actions to a runner, all on one thread. The Post functions are
+/// thread-safe.
+class CoreThread {
+ public:
+  /// Runs the actions of one event; must not block.
+  using Runner =
+      std::function<void(Time posted, const EntryEvent& event, std::vector<EntryAction> actions)>;
+  using StatusReceiver = std::function<void(const EntryStatus&)>;
+
+  /// `clock` must outlive the thread.
+  CoreThread(EntryCore core, const Clock& clock, Runner run);
+  ~CoreThread();
+  CoreThread(const CoreThread&) = delete;
+  CoreThread& operator=(const CoreThread&) = delete;
+
+  void Start();
+
+  /// Handles what was posted before, then ends the thread.
+  void Stop();
+
+  /// Posts a request from outside. Returns false when the entry is overloaded; the event is then
+  /// not handled. Leaves room in the ring for results.
+  bool PostRequest(EntryEvent event);
+
+  /// Posts a result that the logic waits for; waits for room. Lost only when the thread has
+  /// stopped.
+  void PostResult(EntryEvent event);
+
+  /// Calls `receive` on the core thread. Returns false when the entry is overloaded.
+  bool PostStatusRequest(StatusReceiver receive);
+
+ private:
+  struct Item {
+    Time posted;
+    std::variant<EntryEvent, StatusReceiver> content;
+  };
+
+  void Handle(const Item& item);
+  void HandleEvent(Time posted, const EntryEvent& event);
+  /// Handles the results that actions gave at once, on the core thread.
+  void HandleDeferred();
+  void Tick();
+  bool IsCoreThread() const;
+
+  EntryCore core;
+  const Clock& clock;
+  Runner run;
+  std::atomic<std::thread::id> core_thread{};
+  std::atomic<bool> stopping{false};
+  /// Results posted on the core thread itself, which must not wait for room in its own ring.
+  std::vector<Item> deferred;
+  EventLoop<Item> loop;
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/entry/platform_poller.cc
@@ -0,0 +1,89 @@
+#include "entry/platform_poller.h"
+
+#include <utility>
+
+#include "runtime/log.h"
+
+namespace quetzalvale {
+namespace {
+
+constexpr std::chrono::milliseconds kPollPeriod{1000};
+/// Peers' sender threads with nothing to send are kept this long.
+constexpr std::chrono::seconds kIdleSender{120};
+
+}  // namespace
+
+PlatformPoller::PlatformPoller(Parts parts) : parts(std::move(parts)) {}
+
+PlatformPoller::~PlatformPoller() { this->Stop(); }
+
+void PlatformPoller::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void PlatformPoller::Stop() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopped = true;
+  }
+  this->stop_requested.notify_all();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void PlatformPoller::Run() {
+  std::unique_lock lock(this->mutex);
+  while (!this->stopped) {
+    lock.unlock();
+    if (!this->registered) {
+      this->registered = this->parts.registry.Add();
+    }
+    bool reachable = true;
+    for (const auto& service : this->parts.book.Services()) {
+      const bool answered = this->PollService(service);
+      reachable = reachable && answered;
+    }
+    this->NotePlatform(reachable);
+    this->parts.senders.DropIdle(kIdleSender);
+    lock.lock();
+    this->stop_requested.wait_for(lock, kPollPeriod, [this] { return this->stopped; });
+  }
+}
+
+bool PlatformPoller::PollService(const std::string& service) {
+  const auto stored = this->parts.store.Read(service);
+  if (!IsOk(stored)) {
+    this->AskPeers(service);
+    return false;
+  }
+  if (const auto& found = std::get<std::optional<StoredDocument>>(stored)) {
+    this->parts.book.Offer(service, *found, "table configuration, row " + service);
+  }
+  return true;
+}
+
+void PlatformPoller::AskPeers(const std::string& service) {
+  Json::Value parameters;
+  parameters["service"] = service;
+  for (const auto& peer : this->parts.peers()) {
+    this->parts.senders.Send(
+        peer, "configuration", parameters, [this, service, peer](const Result<Json::Value>& reply) {
+          const auto* json = std::get_if<Json::Value>(&reply);
+          if (json != nullptr && json->isObject() && (*json)["version"].isUInt64()) {
+            this->parts.book.Offer(service, {(*json)["version"].asUInt64(), (*json)["document"]},
+                                   "entry " + peer);
+          }
+        });
+  }
+}
+
+void PlatformPoller::NotePlatform(bool reachable) {
+  if (reachable != this->platform_reachable) {
+    this->platform_reachable = reachable;
+    Log(reachable ? LogLevel::kInfo : LogLevel::kWarning, reachable ? 3031 : 3030,
+        reachable ? "platform_back" : "platform_out", "");
+  }
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/entry/status_json.cc
@@ -0,0 +1,48 @@
+#include "entry/status_json.h"
+
+#include "protocol/codec.h"
+
+namespace quetzalvale {
+namespace {
+
+Json::Value RenderAgent(const AgentStatus& agent) {
+  Json::Value json;
+  json["name"] = agent.name;
+  json["incarnation"] = agent.incarnation.Text();
+  json["address"] = agent.address;
+  json["outstanding"] = Json::UInt64(agent.outstanding);
+  json["leaving"] = agent.leaving;
+  json["ejected"] = agent.ejected;
+  json["lost"] = agent.lost;
+  return json;
+}
+
+Json::Value RenderService(const ServiceStatus& service) {
+  Json::Value json;
+  json["service"] = service.service;
+  json["configuration_version"] = Json::UInt64(service.configuration_version);
+  json["queued_tasks"] = Json::UInt64(service.queued_tasks);
+  json["jobs_in_progress"] = Json::UInt64(service.jobs_in_progress);
+  json["agents"] = Json::Value(Json::arrayValue);
+  for (const auto& agent : service.agents) {
+    json["agents"].append(RenderAgent(agent));
+  }
+  return json;
+}
+
+}  // namespace
+
+Json::Value RenderStatus(const EntryStatus& status) {
+  Json::Value json;
+  json["entry"] = Encode(status.self);
+  json["leaving"] = status.leaving;
+  json["roster_number"] = Json::UInt64(status.roster_number);
+  json["services"] = Json::Value(Json::arrayValue);
+  for (const auto& service : status.services) {
+    json["services"].append(RenderService(service));
+  }
+  json["peers"] = Encode(status.peers);
+  return json;
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/http/http_client.h
@@ -0,0 +1,54 @@
+/// Asynchronous HTTP client on cpprestsdk.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "http/http_messages.h"
+
+namespace quetzalvale {
+
+struct OutgoingRequest {
+  std::string method = "GET";
+  /// Path and query, percent-encoded.
+  std::string target;
+  std::string body;
+  std::string authorization;
+  /// Use a connection of its own. cpprestsdk silently sends a request again when a pooled
+  /// connection turns out to be closed, so what must be sent at most once needs this.
+  bool once = false;
+};
+
+/// Why there is no response.
+struct HttpFailure {
+  /// No connection was made: the peer does not have the request.
+  bool not_sent = false;
+  std::string message;
+};
+
+using HttpResult = std::variant<HttpResponse, HttpFailure>;
+
+/// Sends requests to one server. Thread-safe.
+class HttpClient {
+ public:
+  /// `url` is scheme, address and port.
+  HttpClient(const std::string& url, std::chrono::milliseconds timeout);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// `done` runs on a thread of the HTTP library, exactly once.
+  void Send(OutgoingRequest request, std::function<void(HttpResult)> done);
+
+  /// Sends and waits. Not for use on the library's threads.
+  HttpResult SendAndWait(OutgoingRequest request);
+
+ private:
+  struct State;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,46 @@
+/// Asynchronous HTTP server on cpprestsdk.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "http/http_messages.h"
+
+namespace quetzalvale {
+
+/// Sets the number of threads that serve all HTTP servers and clients of the process. Call once,
+/// before the first of them; the library's default of 40 wastes memory.
+void InitHttpThreads(int threads);
+
+/// Listens on one address. A request whose body exceeds the limit gets 413 without its body being
+/// kept. Thread-safe but for Start and Stop.
+class HttpServer {
+ public:
+  /// `address` is `IPv4:port`. `max_body_bytes` is asked for each request.
+  HttpServer(const std::string& address, std::function<std::size_t()> max_body_bytes,
+             HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Returns an empty text, or the reason why the address cannot be listened on.
+  std::string Start();
+
+  /// Marks all responses from now on as the last of their connection.
+  void CloseConnections();
+
+  /// Waits until every request received has its response sent, then closes the address. Gives up
+  /// waiting after `patience`. May be called twice.
+  void Stop(std::chrono::milliseconds patience);
+
+  /// Requests received whose response is not yet sent.
+  std::size_t InFlight() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+}  // namespace quetzalvale
