Add the agent program and the endpoint stand-in

The agent runs AgentCore on one thread; inner calls, the endpoint's HTTP and /metrics feed it events.

Every task request has an HTTP client of its own. cpprestsdk sends a request again when a pooled connection turns out to be closed, and the pool belongs to the client. "Connection: close" alone was ruled out: the pool goes by the server's answer, so a server that keeps the connection open makes the next task use it. The test with one shared client sees the second task arrive more than once; with separate clients it arrives exactly once.

A refused connection proves that a task did not run only when the library says that connecting failed; the error code alone can also come from an established connection.

The stand-in's drop_after_start needs a response that breaks off, which cpprestsdk sends as headers without the announced body; HttpResponse has a switch for it.

A configuration that cannot be decoded was asked for every second and logged each time; the pause now doubles up to a minute.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -16,3 +16,13 @@
 quetzalvale_library(entry quetzalvale_platform quetzalvale_settings quetzalvale_protocol xxhash)
 add_executable(quetzalvale-entry src/entry/main.cc)
 target_link_libraries(quetzalvale-entry PRIVATE quetzalvale_entry docopt)
+
+quetzalvale_library(agent quetzalvale_http quetzalvale_settings quetzalvale_protocol quetzalvale_core)
+add_executable(quetzalvale-agent src/agent/main.cc)
+target_link_libraries(quetzalvale-agent PRIVATE quetzalvale_agent docopt)
+
+add_library(quetzalvale_standin_endpoint STATIC src/standin/endpoint_journal.cc
+            src/standin/endpoint_server.cc src/standin/endpoint_worker.cc)
+target_link_libraries(quetzalvale_standin_endpoint PUBLIC quetzalvale_http quetzalvale_protocol)
+add_executable(standin-endpoint src/standin/endpoint_main.cc)
+target_link_libraries(standin-endpoint PRIVATE quetzalvale_standin_endpoint docopt)
--- /dev/null
+++ b/src/agent/agent_thread.cc
@@ -0,0 +1,79 @@
+#include "agent/agent_thread.h"
+
+#include <utility>
+
+namespace quetzalvale {
+namespace {
+
+constexpr std::size_t kRingCapacity = 8192;
+/// Requests from outside leave the rest of the ring to results.
+constexpr std::size_t kRequestCapacity = kRingCapacity / 2;
+/// Queued tasks expire and outcome batches leave within this time of being due.
+constexpr std::chrono::milliseconds kTickPeriod{10};
+constexpr std::chrono::milliseconds kPauseWhenFull{1};
+
+}  // namespace
+
+AgentThread::AgentThread(AgentCore& core, const Clock& clock, Metrics& metrics, Runner run)
+    : core(core),
+      clock(clock),
+      metrics(metrics),
+      run(std::move(run)),
+      loop(
+          kRingCapacity, kTickPeriod, [this](const AgentEvent& event) { this->Handle(event); },
+          [this] { this->Handle(Tick{}); }) {}
+
+AgentThread::~AgentThread() { this->Stop(); }
+
+void AgentThread::Start() { this->loop.Start(); }
+
+void AgentThread::Stop() {
+  this->stopping = true;
+  this->loop.Stop();
+}
+
+bool AgentThread::PostRequest(AgentEvent event) {
+  return this->loop.Backlog() < kRequestCapacity && this->loop.Post(std::move(event));
+}
+
+void AgentThread::PostResult(AgentEvent event) {
+  if (this->core_thread.load() == std::this_thread::get_id()) {
+    this->deferred.push_back(std::move(event));
+    return;
+  }
+  while (!this->loop.Post(event) && !this->stopping) {
+    std::this_thread::sleep_for(kPauseWhenFull);
+  }
+}
+
+void AgentThread::Handle(const AgentEvent& event) {
+  this->core_thread = std::this_thread::get_id();
+  this->HandleOne(event);
+  while (!this->deferred.empty()) {
+    for (const auto& result : std::exchange(this->deferred, {})) {
+      this->HandleOne(result);
+    }
+  }
+}
+
+void AgentThread::HandleOne(const AgentEvent& event) {
+  for (const auto& action : this->core.Handle(this->clock.Now(), event)) {
+    this->run(action);
+  }
+  this->ready = this->core.IsReady();
+  this->CountOutcomes();
+}
+
+void AgentThread::CountOutcomes() {
+  const auto count = [this](const char* name, std::uint64_t total, std::uint64_t& counted) {
+    if (total > counted) {
+      this->metrics.Add(name, total - counted);
+      counted = total;
+    }
+  };
+  count("outcomes_total", this->core.OutcomesSent(), this->counted_sent);
+  count("outcomes_repeated_total", this->core.OutcomesRepeated(), this->counted_repeated);
+  count("messages_useful_total", this->core.UsefulOutcomeMessages(), this->counted_useful);
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/agent/agent_thread.h
@@ -0,0 +1,66 @@
+/// The thread that owns an agent's decision logic.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <thread>
+#include <vector>
+
+#include "core/agent_core.h"
+#include "runtime/clock.h"
+#include "runtime/event_loop.h"
+#include "runtime/metrics.h"
+
+namespace quetzalvale {
+
+/// Hands events to AgentCore and its actions to a runner, all on one thread. The Post functions and
+/// IsReady are thread-safe.
+class AgentThread {
+ public:
+  /// Runs one action; must not block.
+  using Runner = std::function<void(const AgentAction&)>;
+
+  /// `core`, `clock` and `metrics` must outlive the thread.
+  AgentThread(AgentCore& core, const Clock& clock, Metrics& metrics, Runner run);
+  ~AgentThread();
+  AgentThread(const AgentThread&) = delete;
+  AgentThread& operator=(const AgentThread&) = delete;
+
+  void Start();
+
+  /// Handles what was posted before, then ends the thread.
+  void Stop();
+
+  /// Posts a message from an entry. Returns false when the agent is overloaded; the event is then
+  /// not handled. Leaves room in the ring for results.
+  bool PostRequest(AgentEvent event);
+
+  /// Posts a result that the logic waits for; waits for room. Lost only when the thread has
+  /// stopped.
+  void PostResult(AgentEvent event);
+
+  /// Whether the agent takes starts.
+  bool IsReady() const { return this->ready; }
+
+ private:
+  void Handle(const AgentEvent& event);
+  void HandleOne(const AgentEvent& event);
+  void CountOutcomes();
+
+  AgentCore& core;
+  const Clock& clock;
+  Metrics& metrics;
+  Runner run;
+  std::atomic<std::thread::id> core_thread{};
+  std::atomic<bool> stopping{false};
+  std::atomic<bool> ready{false};
+  std::uint64_t counted_sent = 0;
+  std::uint64_t counted_repeated = 0;
+  std::uint64_t counted_useful = 0;
+  /// Results posted on the core thread itself, which must not wait for room in its own ring.
+  std::vector<AgentEvent> deferred;
+  EventLoop<AgentEvent> loop;
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/agent/process_usage.h
@@ -0,0 +1,16 @@
+/// Processor time and memory of this process.
+#pragma once
+
+#include <cstdint>
+
+namespace quetzalvale {
+
+struct ProcessUsage {
+  double cpu_seconds = 0;
+  std::uint64_t resident_bytes = 0;
+};
+
+/// Reads the operating system's figures.
+ProcessUsage ReadProcessUsage();
+
+}  // namespace quetzalvale
--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -16,8 +16,9 @@
 /// Reason of EndpointRefused that says that no connection to the endpoint was made.
 constexpr std::string_view kUnreachable = "unreachable";
 
-/// Pause before the configuration is asked for again when it did not arrive.
-constexpr Milliseconds kFetchAgain{1000};
+/// Pauses before a configuration that did not arrive, or cannot be read, is asked for again.
+constexpr Milliseconds kFirstFetchPause{1000};
+constexpr Milliseconds kLongestFetchPause{60000};
 /// Ticks come every 100 ms at the latest; a gap of this length means that the process was stopped.
 constexpr Milliseconds kGap{1000};
 /// A leaving agent whose tasks are done delivers outcomes for at most this long. An owner that does
@@ -437,6 +438,7 @@
       send.message.outcomes.push_back(this->store.Find(task)->outcome);
     }
     this->outcomes_sent += batch.first_sent;
+    this->useful_outcome_messages += batch.first_sent > 0 ? 1 : 0;
     this->outcomes_repeated += batch.tasks.size() - batch.first_sent;
     this->actions.emplace_back(std::move(send));
   }
@@ -496,13 +498,15 @@
 }
 
 void AgentCore::NoteVersion(std::uint64_t version, const std::string& address) {
-  const bool newer = version > this->configuration->version;
-  if (!newer || address.empty() ||
-      (version <= this->fetched_version && this->now < this->fetch_again)) {
+  const bool asked_before = version <= this->fetched_version;
+  const bool waits = asked_before && this->now < this->fetch_again;
+  if (version <= this->configuration->version || address.empty() || waits) {
     return;
   }
+  this->fetch_pause =
+      asked_before ? std::min(this->fetch_pause * 2, kLongestFetchPause) : kFirstFetchPause;
   this->fetched_version = version;
-  this->fetch_again = this->now + kFetchAgain;
+  this->fetch_again = this->now + this->fetch_pause;
   this->actions.emplace_back(FetchConfiguration{address, version});
 }
 
--- a/src/core/agent_core.h
+++ b/src/core/agent_core.h
@@ -53,6 +53,11 @@
   /// Number of outcomes that were in a message for the first time, and of those sent again.
   std::uint64_t OutcomesSent() const { return this->outcomes_sent; }
   std::uint64_t OutcomesRepeated() const { return this->outcomes_repeated; }
+  /// Number of messages with at least one outcome that was not in a message before.
+  std::uint64_t UsefulOutcomeMessages() const { return this->useful_outcome_messages; }
+
+  /// Whether the agent takes starts: the endpoint answers and the agent is not leaving.
+  bool IsReady() const { return this->endpoint.IsUp() && !this->leaving; }
 
   AgentLoad Load() const;
 
@@ -112,7 +117,9 @@
 
   std::uint64_t outcomes_sent = 0;
   std::uint64_t outcomes_repeated = 0;
+  std::uint64_t useful_outcome_messages = 0;
   std::uint64_t fetched_version = 0;
+  Milliseconds fetch_pause{0};
   Time fetch_again{};
 
   bool leaving = false;
--- a/src/http/http_messages.h
+++ b/src/http/http_messages.h
@@ -27,6 +27,8 @@
   std::string content_type = "application/json";
   /// Tells the peer not to reuse the connection.
   bool close = false;
+  /// Breaks the connection off before the body, as a failing server does. For test stand-ins.
+  bool broken_off = false;
 };
 
 /// Sends the response to one request. Called once, from any thread.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "http/http_server.h"
 
+#include <cpprest/containerstream.h>
 #include <cpprest/http_listener.h>
 #include <pplx/threadpool.h>
 
@@ -114,7 +115,12 @@
 
   void Reply(const http_request& message, HttpResponse response) {
     http_response reply(static_cast<web::http::status_code>(response.status));
-    reply.set_body(std::move(response.body), response.content_type);
+    if (response.broken_off) {
+      // The library closes the connection when a body ends before its announced length.
+      reply.set_body(concurrency::streams::bytestream::open_istream(std::string()), 1);
+    } else {
+      reply.set_body(std::move(response.body), response.content_type);
+    }
     bool close = response.close;
     {
       const std::lock_guard lock(this->mutex);
--- /dev/null
+++ b/tests/agent_program/libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(agent_program_test PRIVATE quetzalvale_agent quetzalvale_standin_endpoint)
--- /dev/null
+++ b/tests/standin_endpoint/libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(standin_endpoint_test PRIVATE quetzalvale_standin_endpoint)
