--- a/src/core/quota_table.cc
+++ b/src/core/quota_table.cc
@@ -28,7 +28,7 @@
 
 void QuotaTable::SetPeerDemand(const Incarnation& peer, std::string_view team,
                                double tasks_per_second) {
-  this->peers[peer] = true;
+  this->peers.insert(peer);
   this->teams[std::string(team)].peer_demand[peer] = std::max(0.0, tasks_per_second);
 }
 
--- a/src/core/quota_table.h
+++ b/src/core/quota_table.h
@@ -5,6 +5,8 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 
 #include "core/types.h"
 
@@ -41,7 +43,7 @@
     bool started = false;
     double demand = 0;
     Time demand_updated{};
-    std::map<Incarnation, double> peer_demand;
+    std::unordered_map<Incarnation, double> peer_demand;
   };
 
   /// This entry's part of the team's quota, in tasks per second.
@@ -49,7 +51,7 @@
   void Refill(Team& team, Time now);
 
   std::map<std::string, Team, std::less<>> teams;
-  std::map<Incarnation, bool> peers;
+  std::unordered_set<Incarnation> peers;
 };
 
 }  // namespace quetzalvale
--- /dev/null
+++ b/tests/policy/admission_test.cc
@@ -0,0 +1,118 @@
+#include "core/admission.h"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace quetzalvale {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class AdmissionTest : public ::testing::Test {
+ protected:
+  AdmissionTest() {
+    this->configuration.service = "zarqa";
+    this->configuration.kinds = {{"quote", 1, milliseconds(5000), milliseconds(100)},
+                                 {"new_kind", 1, milliseconds(5000), milliseconds(100)}};
+    this->configuration.teams = {{"desk", 0}};
+    for (int i = 0; i < 100; ++i) {
+      this->model.Observe("quote", "w1", Microseconds{0}, milliseconds(100));
+    }
+    this->load.has_agents = true;
+    this->load.effective_slots = 10;
+    this->job.team = "desk";
+    this->job.kind = "quote";
+    this->job.tasks.resize(4);
+  }
+
+  std::optional<ErrorKind> Check() {
+    const auto error = CheckAdmission(this->configuration, this->model, this->load, this->job);
+    if (!error) return std::nullopt;
+    EXPECT_FALSE(error->message.empty());
+    return error->kind;
+  }
+
+  ServiceConfiguration configuration;
+  RunTimeModel model;
+  LoadView load;
+  Submission job;
+};
+
+TEST_F(AdmissionTest, TakesAnOrdinaryJob) { EXPECT_EQ(this->Check(), std::nullopt); }
+
+TEST_F(AdmissionTest, RefusesUnknownNames) {
+  this->job.kind = "other";
+  EXPECT_EQ(this->Check(), ErrorKind::kUnknownKind);
+  this->job.kind = "quote";
+  this->job.team = "other";
+  EXPECT_EQ(this->Check(), ErrorKind::kUnknownTeam);
+  this->configuration.teams.clear();
+  EXPECT_EQ(this->Check(), std::nullopt);
+}
+
+// A task that no worker can hold would otherwise wait until its deadline.
+TEST_F(AdmissionTest, RefusesTasksThatNeverFit) {
+  this->job.tasks[3].cores = 17;
+  EXPECT_EQ(this->Check(), ErrorKind::kNeverFits);
+  this->job.tasks[3] = {};
+  this->job.tasks[2].memory_mb = 32769;
+  EXPECT_EQ(this->Check(), ErrorKind::kNeverFits);
+  this->job.tasks[2].memory_mb = 32768;
+  EXPECT_EQ(this->Check(), std::nullopt);
+  this->job.tasks[1].accelerators = 1;
+  EXPECT_EQ(this->Check(), ErrorKind::kNeverFits);
+}
+
+TEST_F(AdmissionTest, RefusesMalformedAmounts) {
+  this->job.tasks[0].cores = std::numeric_limits<double>::quiet_NaN();
+  EXPECT_EQ(this->Check(), ErrorKind::kMalformed);
+  this->job.tasks[0].cores = -1;
+  EXPECT_EQ(this->Check(), ErrorKind::kMalformed);
+  this->job.tasks.clear();
+  EXPECT_EQ(this->Check(), ErrorKind::kMalformed);
+}
+
+TEST_F(AdmissionTest, RefusesAboveTheLimits) {
+  this->job.tasks.resize(441);
+  EXPECT_EQ(this->Check(), ErrorKind::kTooManyTasks);
+  this->job.tasks.resize(4);
+  this->load.queued_tasks = this->configuration.limits.queued_tasks - 3;
+  EXPECT_EQ(this->Check(), ErrorKind::kOverloaded);
+  this->load.queued_tasks -= 1;
+  EXPECT_EQ(this->Check(), std::nullopt);
+}
+
+TEST_F(AdmissionTest, RefusesWithoutAgents) {
+  this->load.has_agents = false;
+  EXPECT_EQ(this->Check(), ErrorKind::kNotReady);
+}
+
+// Fails when a job that cannot make it is taken and then fails at its deadline.
+TEST_F(AdmissionTest, RefusesAnUnreachableDeadlineUnderTheQueueAhead) {
+  this->load.queued_work = seconds(60);
+  EXPECT_EQ(this->Check(), ErrorKind::kDeadlineUnreachable);
+  this->job.deadline = seconds(20);
+  EXPECT_EQ(this->Check(), std::nullopt);
+}
+
+// Fails when a guess refuses a job: with a kind that never ran, the queue's size is not known.
+TEST_F(AdmissionTest, DoesNotRefuseOnAGuess) {
+  this->load.queued_work = seconds(60);
+  this->job.kind = "new_kind";
+  EXPECT_EQ(this->Check(), std::nullopt);
+  this->load.queued_work = seconds(600);
+  EXPECT_EQ(this->Check(), ErrorKind::kDeadlineUnreachable);
+}
+
+// A single task's run time varies, and a faster endpoint may take it.
+TEST_F(AdmissionTest, DoesNotRefuseBecauseOfOwnRunTimeNearTheDeadline) {
+  this->job.deadline = milliseconds(90);
+  EXPECT_EQ(this->Check(), std::nullopt);
+  this->job.deadline = milliseconds(30);
+  EXPECT_EQ(this->Check(), ErrorKind::kDeadlineUnreachable);
+}
+
+}  // namespace
+}  // namespace quetzalvale
