--- a/src/load/load_runner.cc
+++ b/src/load/load_runner.cc
@@ -96,7 +96,8 @@
   for (const WorkloadCancellation& wave : this->workload.cancellations) {
     this->Schedule(wave.at_s * 1000, [this, share = wave.share] { this->CancelShare(share); });
   }
-  this->Schedule(1000, [this] { this->ReportProgress(); });
+  // The line at time zero tells scripts/measure when the load starts.
+  this->Schedule(0, [this] { this->ReportProgress(); });
 }
 
 void LoadRunner::RunUntil(const std::function<bool()>& finished) {
