Wait for a busy endpoint only when it wins by three tenths

Cause: the expected wait of a busy endpoint leaves out what other entries will send there, so tasks waited again and again for a slot they did not get.

--- a/src/core/placement.cc
+++ b/src/core/placement.cc
@@ -13,9 +13,11 @@
 /// the same best agent would collide there.
 constexpr double kEqualFinish = 0.02;
 
-/// Leaving a task at the entry costs a round trip when the slot becomes free, and the expected wait
-/// is uncertain, so the busy endpoint must win by this factor.
-constexpr double kWaitAdvantage = 0.9;
+/// The busy endpoint must win by this factor. The expected wait leaves out tasks that wait at other
+/// entries, and a wait that is renewed again and again makes the longest responses: in trials, 0.9
+/// raised the p99 response ratio from 2.0 to 3.3, and never waiting raised it from 2.9 to 6.7 when
+/// speeds differ by eight.
+constexpr double kWaitAdvantage = 0.7;
 
 using Choice = std::optional<std::size_t>;
 
--- a/tests/policy/placement_test.cc
+++ b/tests/policy/placement_test.cc
@@ -46,6 +46,12 @@
   EXPECT_EQ(Choose({Free(0.5), Busy(1, milliseconds(150))}), 0);
 }
 
+// Fails when a task waits for a gain that is smaller than the error of the expected wait; such
+// waits are renewed and made the longest responses.
+TEST(DefaultPlacementTest, DoesNotWaitForASmallGain) {
+  EXPECT_EQ(Choose({Free(0.5), Busy(1, milliseconds(60))}), 0);
+}
+
 // Fails when every waiting task expects the same next slot: the queue would then grow without
 // limit beside idle endpoints.
 TEST(DefaultPlacementTest, CountsTasksThatWaitAlready) {
