--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -1,3 +1,8 @@
 # Packages and programs beyond the core. Each program is one folder under src/ with a main.cc;
 # its other sources form a library that tests can link.
 set(QUETZALVALE_LIBRARIES quetzalvale_protocol quetzalvale_runtime quetzalvale_core)
+
+# The operators' Python library.
+find_package(Python3 3.10 REQUIRED COMPONENTS Interpreter)
+add_test(NAME operator COMMAND ${Python3_EXECUTABLE} -B tests/operator/quetzalvale_test.py
+         WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
