--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -2,6 +2,9 @@
 # its other sources form a library that tests can link.
 set(QUETZALVALE_LIBRARIES quetzalvale_protocol quetzalvale_runtime quetzalvale_core)
 
+quetzalvale_library(settings quetzalvale_protocol quetzalvale_core)
+list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_settings)
+
 # The operators' Python library.
 find_package(Python3 3.10 REQUIRED COMPONENTS Interpreter)
 add_test(NAME operator COMMAND ${Python3_EXECUTABLE} -B tests/operator/quetzalvale_test.py
