Add quetzalvale-ctl with validate, apply, show, audit, drain, status and submit

Each operation is a class on top of EntryClient, whose transport is a hook, so the tests script the entries' answers and need neither sockets nor time. submit keeps its ticket when a connection breaks and takes a new one only after a refusal that says not run. apply settles a stale base by looking for its change id in the audit rows, because the first answer may have been lost after the write. Ruled out: cpprestsdk's connection pool, which resends a request on a closed connection; each call has a connection of its own.

Assumed until the entry program is there: status answers carry name, services [{service, configuration_version}] and agents [{name, service, configuration_version}]; audit answers carry rows [{change_id, version}].

Not run yet: any operation against a real entry.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -9,3 +9,10 @@
 find_package(Python3 3.10 REQUIRED COMPONENTS Interpreter)
 add_test(NAME operator COMMAND ${Python3_EXECUTABLE} -B tests/operator/quetzalvale_test.py
          WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+
+# The operators' command line.
+quetzalvale_library(client quetzalvale_core cpprest ssl crypto)
+quetzalvale_library(ctl quetzalvale_settings quetzalvale_client quetzalvale_protocol quetzalvale_runtime)
+add_executable(quetzalvale-ctl src/ctl/main.cc)
+target_link_libraries(quetzalvale-ctl PRIVATE quetzalvale_ctl docopt)
+list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_ctl quetzalvale_client)
--- a/operator/quetzalvale.py
+++ b/operator/quetzalvale.py
@@ -2,7 +2,8 @@
 
 A script builds a Service and calls print_document(); running the script prints the JSON document for
 `quetzalvale-ctl apply`. Members always come in the same order, so two documents can be compared as text.
-Everything is checked on construction; a SettingsError names the place, what is wrong and the remedy.
+Everything is checked on construction; a SettingsError names the place, what is wrong and the remedy. The ranges are
+those of the schema in src/settings/service_document.cc.
 """
 
 import dataclasses
@@ -14,8 +15,8 @@
 PLACEMENTS = ("default", "random", "round_robin", "least_outstanding", "power_of_two")
 
 # A service's name is part of tickets, table keys and URLs, which reserve "~" and "/".
-_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
-_PATTERN = re.compile(r"[A-Za-z0-9._*-]{1,64}")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,100}")
+_PATTERN = re.compile(r"[A-Za-z0-9._*-]{1,100}")
 
 
 class SettingsError(ValueError):
@@ -32,7 +33,7 @@
         isinstance(value, str) and _NAME.fullmatch(value),
         place,
         f"{value!r} is not a name",
-        "use 1 to 64 letters, digits, dots, underscores or hyphens, beginning with a letter or digit",
+        "use 1 to 100 letters, digits, dots, hyphens or underscores",
     )
 
 
@@ -110,7 +111,7 @@
 
     def __post_init__(self):
         _check_name("teams.name", self.name)
-        _check_number(f"teams.{self.name}.tasks_per_second", self.tasks_per_second, 0, 1000000)
+        _check_number(f"teams.{self.name}.tasks_per_second", self.tasks_per_second, 0, 10000000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,9 +123,9 @@
     accelerators: int = 0
 
     def __post_init__(self):
-        _check_number("worker_limits.cores", self.cores, 0.01, 4096)
-        _check_integer("worker_limits.memory_mb", self.memory_mb, 1, 1 << 30)
-        _check_integer("worker_limits.accelerators", self.accelerators, 0, 1024)
+        _check_number("worker_limits.cores", self.cores, 0, 100000)
+        _check_integer("worker_limits.memory_mb", self.memory_mb, 0, 1000000000)
+        _check_integer("worker_limits.accelerators", self.accelerators, 0, 10000)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,7 +138,7 @@
 
     def __post_init__(self):
         _check_integer("limits.tasks_per_job", self.tasks_per_job, 1, 100000)
-        _check_integer("limits.body_bytes", self.body_bytes, 1024, 1 << 30)
+        _check_integer("limits.body_bytes", self.body_bytes, 100, 33554432)
         _check_integer("limits.queued_tasks", self.queued_tasks, 1, 10000000)
 
 
@@ -151,7 +152,7 @@
 
     def __post_init__(self):
         _check_integer("batching.start_delay_us", self.start_delay_us, 0, 1000000)
-        _check_integer("batching.outcome_delay_ms", self.outcome_delay_ms, 0, 1000)
+        _check_integer("batching.outcome_delay_ms", self.outcome_delay_ms, 0, 10000)
         _check_integer("batching.batch_tasks", self.batch_tasks, 1, 10000)
 
 
@@ -165,10 +166,10 @@
     answer_kept_s: int = 600
 
     def __post_init__(self):
-        _check_integer("tickets.block", self.block, 1, 1000000)
-        _check_integer("tickets.valid_s", self.valid_s, 1, 86400)
-        _check_integer("tickets.answers_kept", self.answers_kept, 1, 10000000)
-        _check_integer("tickets.answer_kept_s", self.answer_kept_s, 1, 86400)
+        _check_integer("tickets.block", self.block, 1, 100000)
+        _check_integer("tickets.valid_s", self.valid_s, 1, 604800)
+        _check_integer("tickets.answers_kept", self.answers_kept, 0, 10000000)
+        _check_integer("tickets.answer_kept_s", self.answer_kept_s, 0, 604800)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -182,10 +183,10 @@
     probe_after_ms: int = 2000
 
     def __post_init__(self):
-        _check_integer("health.heartbeat_ms", self.heartbeat_ms, 10, 600000)
-        _check_integer("health.agent_lost_ms", self.agent_lost_ms, 10, 600000)
-        _check_integer("health.agent_dead_ms", self.agent_dead_ms, 10, 3600000)
-        _check_integer("health.eject_after", self.eject_after, 1, 1000000)
+        _check_integer("health.heartbeat_ms", self.heartbeat_ms, 10, 3600000)
+        _check_integer("health.agent_lost_ms", self.agent_lost_ms, 10, 3600000)
+        _check_integer("health.agent_dead_ms", self.agent_dead_ms, 10, 86400000)
+        _check_integer("health.eject_after", self.eject_after, 1, 100000)
         _check_integer("health.probe_after_ms", self.probe_after_ms, 1, 3600000)
         _check(
             self.heartbeat_ms < self.agent_lost_ms < self.agent_dead_ms,
@@ -241,9 +242,15 @@
         _check_type("batching", self.batching, Batching)
         _check_type("tickets", self.tickets, Tickets)
         _check_type("health", self.health, Health)
-        _check_integer("lease_ms", self.lease_ms, 100, 3600000)
+        _check_integer("lease_ms", self.lease_ms, 30, 3600000)
+        _check(
+            self.lease_ms >= 3 * self.health.heartbeat_ms,
+            "lease_ms",
+            f"{self.lease_ms} is shorter than three heartbeats of {self.health.heartbeat_ms}",
+            "raise it or lower health.heartbeat_ms",
+        )
         _check_integer("agent_queue", self.agent_queue, 0, 10000)
-        _check_number("retry_share", self.retry_share, 0, 1)
+        _check_number("retry_share", self.retry_share, 0, 10)
         _check_integer("subset_size", self.subset_size, 1, 100000)
 
     def document(self):
--- /dev/null
+++ b/src/client/http_call.h
@@ -0,0 +1,43 @@
+/// HTTP calls of the operators' and test programs (cpprestsdk).
+// cpprestsdk's headers are slow to compile, so only http_call.cc includes them.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "core/result.h"
+
+namespace quetzalvale {
+
+struct HttpRequest {
+  /// `IPv4:port`, or a URL that begins with http://.
+  std::string address;
+  /// GET, PUT, POST or DELETE.
+  std::string method = "GET";
+  /// Path and query.
+  std::string path = "/";
+  /// JSON text; sent unless empty.
+  std::string body;
+  std::map<std::string, std::string> headers;
+  std::chrono::milliseconds timeout{30000};
+};
+
+struct HttpReply {
+  int status = 0;
+  std::string body;
+};
+
+/// Result of a call: a reply with any status, kUnreachable (not connected, so the request was not
+/// sent) or kTimeout (the server may have acted on the request).
+using HttpResult = Result<HttpReply>;
+
+/// Waits for the reply. Each call has a connection of its own, because cpprestsdk resends a request
+/// when a pooled connection turns out to be closed.
+HttpResult CallHttp(const HttpRequest& request);
+
+/// Returns at once; `done` runs on a thread of cpprestsdk's pool and must not block.
+void StartHttpCall(const HttpRequest& request, std::function<void(HttpResult)> done);
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/ctl/confirmation.cc
@@ -0,0 +1,42 @@
+#include "ctl/confirmation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalvale {
+namespace {
+
+std::uint64_t VersionOf(const Json::Value& object) {
+  const Json::Value& version = object["configuration_version"];
+  return version.isUInt64() ? version.asUInt64() : 0;
+}
+
+}  // namespace
+
+Confirmation::Confirmation(std::string service) : service(std::move(service)) {}
+
+void Confirmation::Add(const Json::Value& status) {
+  for (const Json::Value& listed : status["services"]) {
+    if (listed["service"] == this->service) {
+      this->AddProcess("entry " + status["name"].asString(), VersionOf(listed));
+    }
+  }
+  for (const Json::Value& agent : status["agents"]) {
+    if (agent["service"] == this->service) {
+      this->AddProcess("agent " + agent["name"].asString(), VersionOf(agent));
+    }
+  }
+}
+
+std::size_t Confirmation::Confirmed(std::uint64_t version) const {
+  return static_cast<std::size_t>(
+      std::count_if(this->versions.begin(), this->versions.end(),
+                    [version](const auto& process) { return process.second >= version; }));
+}
+
+void Confirmation::AddProcess(const std::string& process, std::uint64_t version) {
+  std::uint64_t& known = this->versions[process];
+  known = std::max(known, version);
+}
+
+}  // namespace quetzalvale
