Add quetzalvale-scenario, the Lua harness for whole processes

Guarantees can only be shown on real processes that die, freeze and lose their links. The runner embeds Lua 5.4; its host functions take and return JSON, so that no C++ object is alive when Lua leaves a function by longjmp. Processes are ended by their id at exit, and by the kernel when the runner itself dies. Ports come from a block that is locked for the runner's lifetime and lies below the range of outgoing connections: ports found by binding to 0 can be taken by another process before the child listens.

A relay in front of a process sees connections of all peers. To cut the link of one pair it asks /proc which of the runner's children opened the connection; one relay per pair was ruled out, because a process advertises one address to all peers. This needs a process setting advertised_address, which the process settings do not have yet.

--- a/src/client/http_call.cc
+++ b/src/client/http_call.cc
@@ -16,7 +16,7 @@
   return address.starts_with("http://") ? address : "http://" + address;
 }
 
-web_http::http_request ToWebRequest(const HttpRequest& request) {
+web_http::http_request ToWebRequest(const CallRequest& request) {
   web_http::http_request web_request(request.method);
   web_request.set_request_uri(web::uri(request.path));
   for (const auto& [name, value] : request.headers) {
@@ -29,7 +29,7 @@
   return web_request;
 }
 
-Error ToError(const HttpRequest& request, const std::exception_ptr& failure) {
+Error ToError(const CallRequest& request, const std::exception_ptr& failure) {
   const std::string call = request.method + " " + request.address + request.path;
   try {
     std::rethrow_exception(failure);
@@ -45,7 +45,7 @@
   }
 }
 
-pplx::task<HttpReply> SendRequest(const HttpRequest& request) {
+pplx::task<CallReply> SendRequest(const CallRequest& request) {
   web_http::client::http_client_config config;
   config.set_timeout(request.timeout);
   auto client =
@@ -54,14 +54,14 @@
       .then([client](const web_http::http_response& response) {
         const int status = response.status_code();
         return response.extract_utf8string(true).then([client, status](const std::string& body) {
-          return HttpReply{status, body};
+          return CallReply{status, body};
         });
       });
 }
 
 }  // namespace
 
-HttpResult CallHttp(const HttpRequest& request) {
+CallResult CallHttp(const CallRequest& request) {
   try {
     return SendRequest(request).get();
   } catch (...) {
@@ -69,16 +69,16 @@
   }
 }
 
-void StartHttpCall(const HttpRequest& request, std::function<void(HttpResult)> done) {
-  pplx::task<HttpReply> sent;
+void StartHttpCall(const CallRequest& request, std::function<void(CallResult)> done) {
+  pplx::task<CallReply> sent;
   try {
     sent = SendRequest(request);
   } catch (...) {
     done(ToError(request, std::current_exception()));
     return;
   }
-  sent.then([request, done = std::move(done)](const pplx::task<HttpReply>& finished) {
-    HttpResult result;
+  sent.then([request, done = std::move(done)](const pplx::task<CallReply>& finished) {
+    CallResult result;
     try {
       result = finished.get();
     } catch (...) {
--- a/src/client/http_call.h
+++ b/src/client/http_call.h
@@ -11,7 +11,7 @@
 
 namespace quetzalvale {
 
-struct HttpRequest {
+struct CallRequest {
   /// `IPv4:port`, or a URL that begins with http://.
   std::string address;
   /// GET, PUT, POST or DELETE.
@@ -24,20 +24,20 @@
   std::chrono::milliseconds timeout{30000};
 };
 
-struct HttpReply {
+struct CallReply {
   int status = 0;
   std::string body;
 };
 
 /// Result of a call: a reply with any status, kUnreachable (not connected, so the request was not
 /// sent) or kTimeout (the server may have acted on the request).
-using HttpResult = Result<HttpReply>;
+using CallResult = Result<CallReply>;
 
 /// Waits for the reply. Each call has a connection of its own, because cpprestsdk resends a request
 /// when a pooled connection turns out to be closed.
-HttpResult CallHttp(const HttpRequest& request);
+CallResult CallHttp(const CallRequest& request);
 
 /// Returns at once; `done` runs on a thread of cpprestsdk's pool and must not block.
-void StartHttpCall(const HttpRequest& request, std::function<void(HttpResult)> done);
+void StartHttpCall(const CallRequest& request, std::function<void(CallResult)> done);
 
 }  // namespace quetzalvale
--- a/src/ctl/entry_client.cc
+++ b/src/ctl/entry_client.cc
@@ -27,7 +27,7 @@
 
 Result<EntryReply> EntryClient::CallOne(const std::string& entry, const std::string& method,
                                         const std::string& path, const Json::Value& body) {
-  HttpRequest request;
+  CallRequest request;
   request.address = entry;
   request.method = method;
   request.path = path;
@@ -38,11 +38,11 @@
   if (!this->token.empty()) {
     request.headers["Authorization"] = "Bearer " + this->token;
   }
-  const HttpResult result = this->transport(request);
+  const CallResult result = this->transport(request);
   if (!IsOk(result)) {
     return GetError(result);
   }
-  const HttpReply& reply = std::get<HttpReply>(result);
+  const CallReply& reply = std::get<CallReply>(result);
   auto json = ReadJson(reply.body);
   return EntryReply{reply.status, IsOk(json) ? std::get<Json::Value>(json) : Json::Value()};
 }
--- a/src/ctl/entry_client.h
+++ b/src/ctl/entry_client.h
@@ -21,7 +21,7 @@
 /// Sends calls to several entries. Not thread-safe.
 class EntryClient {
  public:
-  using Transport = std::function<HttpResult(const HttpRequest&)>;
+  using Transport = std::function<CallResult(const CallRequest&)>;
 
   /// Precondition: `entries` (`IPv4:port`) is not empty. `token` may be empty.
   EntryClient(std::vector<std::string> entries, std::string token,
--- /dev/null
+++ b/src/scenario/link_table.cc
@@ -0,0 +1,20 @@
+#include "scenario/link_table.h"
+
+namespace quetzalvale {
+
+void LinkTable::Cut(const std::string& from, const std::string& to) {
+  const std::lock_guard lock(this->mutex);
+  this->cuts.emplace(from, to);
+}
+
+void LinkTable::Restore(const std::string& from, const std::string& to) {
+  const std::lock_guard lock(this->mutex);
+  this->cuts.erase({from, to});
+}
+
+bool LinkTable::IsCut(const std::string& from, const std::string& to) const {
+  const std::lock_guard lock(this->mutex);
+  return this->cuts.contains({from, to});
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/scenario/main.cc
@@ -0,0 +1,70 @@
+/// quetzalvale-scenario: runs a Lua script that starts, disturbs and checks real processes.
+#include <docopt/docopt.h>
+
+#include <exception>
+#include <filesystem>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include "runtime/log.h"
+#include "scenario/host_functions.h"
+#include "scenario/lua_script.h"
+#include "scenario/scenario_host.h"
+
+namespace quetzalvale {
+namespace {
+
+constexpr char kUsage[] = R"(quetzalvale-scenario: runs a Lua script against real processes.
+
+Usage:
+  quetzalvale-scenario [--programs=DIR] [--root=DIR] [--log-level=LEVEL] SCRIPT
+  quetzalvale-scenario (-h | --help)
+
+The script starts processes, and all of them are ended when it ends. `require` finds modules in the
+script's own folder.
+
+Options:
+  --programs=DIR      Folder of the built programs. Left out: the folder of this program.
+  --root=DIR          Folder that holds settings/. [default: .]
+  --log-level=LEVEL   debug, info, warning or error. [default: info]
+  -h --help           Show this text.
+
+Exit codes: 0 the script succeeded, 1 it failed, 2 it could not be run.
+)";
+
+constexpr std::size_t kLogLinesPerProcess = 60;
+
+std::string ProgramsFolder(const docopt::value& option) {
+  return option.isString() ? option.asString()
+                           : std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+}
+
+int RunScript(std::map<std::string, docopt::value> arguments) {
+  const std::string file = arguments["SCRIPT"].asString();
+  ScenarioHost host(ProgramsFolder(arguments["--programs"]));
+  LuaScript script(std::filesystem::absolute(file).parent_path());
+  RegisterHostFunctions(script, host, arguments["--root"].asString());
+  const Status status = script.Run(file);
+  if (IsOk(status)) {
+    return 0;
+  }
+  host.Folder().PrintLogs(std::cout, kLogLinesPerProcess);
+  std::cout << "scenario failed: " << GetError(status).message << std::endl;
+  return 1;
+}
+
+}  // namespace
+}  // namespace quetzalvale
+
+int main(int argc, char** argv) {
+  auto arguments = docopt::docopt(quetzalvale::kUsage, {argv + 1, argv + argc});
+  const std::string level = arguments["--log-level"].asString();
+  quetzalvale::InitLog("quetzalvale-scenario", quetzalvale::ParseLogLevel(level));
+  try {
+    return quetzalvale::RunScript(std::move(arguments));
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << std::endl;
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/scenario/scenario_host.h
@@ -0,0 +1,77 @@
+/// What a scenario can do: processes, links, calls. Independent of Lua.
+#pragma once
+
+#include <json/value.h>
+#include <sys/types.h>
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "scenario/call_records.h"
+#include "scenario/child_process.h"
+#include "scenario/link_table.h"
+#include "scenario/port_block.h"
+#include "scenario/relay_hub.h"
+#include "scenario/work_folder.h"
+
+namespace quetzalvale {
+
+/// Owns everything that a scenario starts and ends it at destruction. Functions throw
+/// std::runtime_error, std::invalid_argument or std::out_of_range with a message for the script's
+/// author. Belongs to one thread.
+class ScenarioHost {
+ public:
+  struct StartOptions {
+    /// Names the process in links and logs. May be used again once the process has ended.
+    std::string name;
+    /// File name in the folder of the programs.
+    std::string program;
+    std::vector<std::string> arguments;
+    /// Written to a file that is passed as --settings=FILE, unless null.
+    Json::Value settings;
+  };
+
+  /// `programs` is the folder of the built programs.
+  explicit ScenarioHost(std::string programs);
+
+  /// Returns the process id.
+  pid_t Start(const StartOptions& options);
+
+  /// `signal` is TERM, KILL, STOP or CONT.
+  void Signal(const std::string& name, const std::string& signal);
+
+  /// Returns the exit code or the negative signal number; nothing when the process still runs after
+  /// `limit`.
+  std::optional<int> WaitForExit(const std::string& name, std::chrono::milliseconds limit);
+
+  std::uint16_t FreePort() { return this->ports.Next(); }
+
+  /// Opens a relay to the port where the process `target` listens and returns the relay's port.
+  std::uint16_t AddRelay(const std::string& target, std::uint16_t target_port);
+
+  LinkTable& Links() { return this->links; }
+  CallRecords& Calls() { return this->calls; }
+  WorkFolder& Folder() { return this->folder; }
+
+ private:
+  ChildProcess& Find(const std::string& name);
+  std::string NameClient(std::uint16_t client_port, std::uint16_t relay_port);
+
+  std::string programs;
+  WorkFolder folder;
+  PortBlock ports;
+  CallRecords calls;
+  LinkTable links;
+  /// Ids by name, for the relay thread.
+  std::mutex mutex;
+  std::map<std::string, pid_t> process_ids;
+  RelayHub relays;
+  std::map<std::string, std::unique_ptr<ChildProcess>> processes;
+};
+
+}  // namespace quetzalvale
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -30,8 +30,8 @@
 
 class CtlTest : public testing::Test {
  protected:
-  void Expect(HttpResult result) { this->results.push_back(std::move(result)); }
-  void ExpectReply(int status, const std::string& body) { this->Expect(HttpReply{status, body}); }
+  void Expect(CallResult result) { this->results.push_back(std::move(result)); }
+  void ExpectReply(int status, const std::string& body) { this->Expect(CallReply{status, body}); }
 
   std::string Write(const std::string& text) {
     const auto* test = testing::UnitTest::GetInstance()->current_test_info();
@@ -42,24 +42,24 @@
 
   void TearDown() override { std::filesystem::remove(this->file); }
 
-  HttpResult Transport(const HttpRequest& request) {
+  CallResult Transport(const CallRequest& request) {
     this->calls.push_back(request.address + " " + request.method + " " + request.path);
     const std::string body = request.body.empty() ? "{}" : request.body;
     this->bodies.push_back(std::get<Json::Value>(ReadJson(body)));
     if (this->results.empty()) {
       return Error{ErrorKind::kUnreachable, "no connection"};
     }
-    HttpResult result = this->results.front();
+    CallResult result = this->results.front();
     this->results.pop_front();
     return result;
   }
 
   std::filesystem::path file;
-  std::deque<HttpResult> results;
+  std::deque<CallResult> results;
   std::vector<std::string> calls;
   std::vector<Json::Value> bodies;
   EntryClient client{
-      {"a", "b"}, "secret", std::chrono::seconds(1), [this](const HttpRequest& request) {
+      {"a", "b"}, "secret", std::chrono::seconds(1), [this](const CallRequest& request) {
         return this->Transport(request);
       }};
   ManualClock clock;
