--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -29,7 +29,7 @@
 # The test harness for whole processes. scenarios/*.lua, except the common part lib.lua and the
 # demonstration, are tests.
 find_path(LUA_INCLUDE lua.hpp PATH_SUFFIXES lua5.4 REQUIRED)
-quetzalvale_library(scenario quetzalvale_client quetzalvale_protocol quetzalvale_runtime lua5.4 crypto)
+quetzalvale_library(scenario quetzalvale_load quetzalvale_client quetzalvale_protocol quetzalvale_runtime lua5.4 crypto)
 target_include_directories(quetzalvale_scenario SYSTEM PUBLIC ${LUA_INCLUDE})
 add_executable(quetzalvale-scenario src/scenario/main.cc)
 target_link_libraries(quetzalvale-scenario PRIVATE quetzalvale_scenario docopt)
--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -230,7 +230,7 @@
 -- Whether the entry is ready and knows `workers` agents.
 function Cluster:knows_workers(entry, workers)
   local status = is_ready(entry.address) and self:status(entry)
-  return status and #status.agents >= workers
+  return status and status.services[1] and #status.services[1].agents >= workers
 end
 
 function Cluster:await_ready()
--- a/src/ctl/apply.cc
+++ b/src/ctl/apply.cc
@@ -79,10 +79,8 @@
                       << this->options.change_id << "\n";
     return ExitCode::kNoAnswer;
   }
-  const Json::Value& body = std::get<EntryReply>(audit).body;
-  const Json::Value& rows = body.isObject() ? body["rows"] : body;
-  for (const Json::Value& row : rows) {
-    if (row.isObject() && row["change_id"] == this->options.change_id) {
+  for (const Json::Value& row : std::get<EntryReply>(audit).body["changes"]) {
+    if (row["change_id"] == this->options.change_id) {
       return this->Finish(row["version"].asUInt64());
     }
   }
@@ -119,7 +117,8 @@
     const bool late = this->session.clock.Now() >= give_up;
     if (complete || late) {
       this->session.err << confirmed << " of " << confirmation.Processes()
-                        << " processes have confirmed version " << version << "\n";
+                        << " processes that tell their version have confirmed version " << version
+                        << "\n";
       return complete ? ExitCode::kDone : ExitCode::kNotConfirmed;
     }
     this->session.pause(kPauseBetweenPolls);
--- a/src/ctl/confirmation.cc
+++ b/src/ctl/confirmation.cc
@@ -17,13 +17,15 @@
 
 void Confirmation::Add(const Json::Value& status) {
   for (const Json::Value& listed : status["services"]) {
-    if (listed["service"] == this->service) {
-      this->AddProcess("entry " + status["name"].asString(), VersionOf(listed));
+    if (listed["service"] != this->service) {
+      continue;
     }
-  }
-  for (const Json::Value& agent : status["agents"]) {
-    if (agent["service"] == this->service) {
-      this->AddProcess("agent " + agent["name"].asString(), VersionOf(agent));
+    this->AddProcess(status["entry"]["incarnation"].asString(), VersionOf(listed));
+    for (const Json::Value& agent : listed["agents"]) {
+      // An entry that does not report its agents' versions says nothing about them.
+      if (agent.isMember("configuration_version")) {
+        this->AddProcess(agent["incarnation"].asString(), VersionOf(agent));
+      }
     }
   }
 }
--- a/src/ctl/confirmation.h
+++ b/src/ctl/confirmation.h
@@ -9,8 +9,8 @@
 
 namespace quetzalvale {
 
-/// Collects the processes that the entries' status answers name. An agent that several entries
-/// know counts once, with the highest version that any of them has heard.
+/// Collects the processes whose versions the entries' status answers tell. An agent that several
+/// entries know counts once, with the highest version that any of them has heard.
 class Confirmation {
  public:
   explicit Confirmation(std::string service);
--- a/src/ctl/drain.cc
+++ b/src/ctl/drain.cc
@@ -23,12 +23,13 @@
       this->session.err << RefusalMessage(answer) << "\n";
       return ExitCode::kRefused;
     }
-    if (answer.body["name"] == this->name) {
+    if (entry == this->name || answer.body["name"] == this->name) {
       return this->Report(this->session.client.CallOne(entry, "POST", "/admin/v1/drain"));
     }
   }
-  this->session.err << "no entry named " << this->name
-                    << " answers; pass its address with --entry=ADDRESS\n";
+  this->session.err
+      << "no entry named " << this->name
+      << " answers; name it by its caller address, and pass that with --entry as well\n";
   return ExitCode::kNoAnswer;
 }
 
--- a/src/ctl/drain.h
+++ b/src/ctl/drain.h
@@ -12,7 +12,7 @@
  public:
   enum class Target { kEntry, kAgent };
 
-  /// `name` is the process's `name` setting.
+  /// `name` is the process's `name` setting; an entry may also be named by its caller address.
   Drain(Session& session, Target target, std::string name);
 
   ExitCode Run();
--- a/src/scenario/host_functions.cc
+++ b/src/scenario/host_functions.cc
@@ -10,7 +10,9 @@
 #include <stdexcept>
 #include <thread>
 #include <utility>
+#include <vector>
 
+#include "load/clairvoyant.h"
 #include "protocol/codec.h"
 
 namespace quetzalvale {
@@ -147,6 +149,29 @@
   });
 }
 
+/// Members: jobs [{at_ms, run_ms [...]}], endpoints [{slots, speed}], latency_ms. Returns the
+/// response times of the clairvoyant dispatcher in milliseconds.
+Json::Value ComputeClairvoyant(const Json::Value& json) {
+  std::vector<PlannedJob> jobs;
+  for (const Json::Value& listed : json["jobs"]) {
+    PlannedJob& job = jobs.emplace_back();
+    job.at_ms = listed["at_ms"].asDouble();
+    for (const Json::Value& run_ms : listed["run_ms"]) {
+      job.tasks.push_back({run_ms.asDouble(), 0});
+    }
+  }
+  std::vector<WorkloadEndpoint> endpoints;
+  for (const Json::Value& listed : json["endpoints"]) {
+    endpoints.push_back({listed["slots"].asInt(), listed["speed"].asDouble()});
+  }
+  Json::Value responses(Json::arrayValue);
+  for (const double response :
+       ClairvoyantResponses(jobs, endpoints, json["latency_ms"].asDouble())) {
+    responses.append(response);
+  }
+  return responses;
+}
+
 void RegisterTools(LuaScript& script, ScenarioHost& host, const std::string& root) {
   script.Register("now_ms",
                   [&host](const Json::Value&) { return Json::Value(host.Calls().NowMs()); });
@@ -166,6 +191,8 @@
   script.Register("sha256", [](const Json::Value& arguments) {
     return Json::Value(Sha256(arguments[0].asString()));
   });
+  script.Register("clairvoyant",
+                  [](const Json::Value& arguments) { return ComputeClairvoyant(arguments[0]); });
   script.Register("print", [](const Json::Value& arguments) {
     std::cout << arguments[0].asString() << std::endl;
     return Json::Value();
