--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -419,3 +419,96 @@
   end
   return counts
 end
+
+-- Waits until `count` tasks of the job have started, according to the journals.
+function Cluster:await_started(job, count)
+  await("tasks of " .. job.ticket .. " start", function() return self:starts_of(job) >= (count or 1) end)
+end
+
+-- Submits `count` jobs through the entries in turn.
+function Cluster:load(count, options)
+  local entries = options.entries or self.entries
+  local jobs = {}
+  for position = 1, count do
+    local job = {}
+    for name, value in pairs(options) do job[name] = value end
+    job.entries, job.entry = nil, entries[(position - 1) % #entries + 1]
+    jobs[position] = self:submit(job)
+  end
+  return jobs
+end
+
+-- Number of starts at one endpoint.
+function Cluster:starts_at(worker)
+  return #call_ok(worker.endpoint_address, "GET", "/journal").starts
+end
+
+-- Submits one short job after another until `count` in a row left the worker's endpoint alone.
+function Cluster:await_no_new_work(worker, count, entries)
+  local quiet, before = 0, self:starts_at(worker)
+  await(worker.endpoint .. " gets no new work", function()
+    local job = self:load(1, {entries = entries, run_ms = 5})[1]
+    await_answer(job)
+    local now = self:starts_at(worker)
+    quiet, before = now == before and quiet + 1 or 0, now
+    return quiet >= count
+  end)
+end
+
+-- Reads the version of the service that each entry has, or nil where an entry does not answer.
+function Cluster:version_at(entry)
+  local status = self:status(entry)
+  return status and status.services[1] and status.services[1].configuration_version
+end
+
+function Cluster:await_version(version)
+  for _, entry in ipairs(self.entries) do
+    if running(entry.name) then
+      await(entry.name .. " has version " .. version, function()
+        return (self:version_at(entry) or 0) >= version
+      end)
+    end
+  end
+end
+
+-- Sends a change without expecting success. Returns the reply's record.
+function Cluster:start_change(entry, base, change_id, changes, second_operator)
+  local document = {}
+  for name, value in pairs(self.document) do document[name] = value end
+  for name, value in pairs(changes) do document[name] = value end
+  return {number = host.start_call{
+    address = entry.address, method = "PUT", headers = second_operator and OTHER_AUTHORIZED or AUTHORIZED,
+    path = "/admin/v1/services/" .. self.service .. "/configuration",
+    body = {base_version = base, change_id = change_id, document = document}}}
+end
+
+function Cluster:await_change(change)
+  return await("the change is answered", function() return record(change) end)
+end
+
+-- The service's stored configuration: {version, document}.
+function Cluster:configuration(entry)
+  return call_ok(entry.address, "GET", "/admin/v1/services/" .. self.service .. "/configuration", nil, AUTHORIZED)
+end
+
+function Cluster:audit(entry)
+  return call_ok(entry.address, "GET", "/admin/v1/services/" .. self.service .. "/audit", nil, AUTHORIZED).changes
+end
+
+function Cluster:drain_agent(entry, worker)
+  local reply = host.call{address = entry.address, method = "POST", headers = AUTHORIZED,
+                          path = "/admin/v1/agents/" .. worker.name .. "/drain"}
+  expect(reply.status == 202, "draining %s is answered 202, not %s", worker.name, reply.status or reply.error)
+end
+
+-- Planned stop of everything that still runs: agents, entries, endpoints, platform.
+function Cluster:stop()
+  local names = {}
+  for _, worker in ipairs(self.workers) do names[#names + 1] = worker.name end
+  for _, entry in ipairs(self.entries) do names[#names + 1] = entry.name end
+  for _, worker in ipairs(self.workers) do names[#names + 1] = worker.endpoint end
+  names[#names + 1] = "platform"
+  for _, name in ipairs(names) do
+    if running(name) then stop(name) end
+  end
+end
--- /dev/null
+++ b/scenarios/platform_faults.lua
@@ -0,0 +1,39 @@
+-- The platform is down, slow, or answers after the effect. Guards against jobs that wait for the
+-- platform, and against changes and keys that are applied twice or reported wrongly.
+require "lib"
+local c = cluster{workers = 3}
+local function with_key(entry, key)
+  local job = c:submit{entry = entry, tasks = 2, run_ms = 20}
+  await_answer(job)
+  job.body.ticket, job.body.key = nil, key
+  c:resubmit(job, entry)
+  await_answer(job)
+  return job.attempts[#job.attempts].record
+end
+-- Down: the hot path goes on, keys are refused as not run.
+control(c.platform_address, {outage = true})
+c:load(20, {tasks = 4, run_ms = 30})
+c:await_answers()
+for _, job in ipairs(c.jobs) do expect_complete(job) end
+local refused = with_key(c.entries[1], "key-during-outage")
+expect(refused.status == 503 and refused.body.error == "platform_unavailable" and refused.body.not_run,
+       "a key during the outage is refused as not run: %s", refused.text)
+-- Slow.
+control(c.platform_address, {outage = false, read_latency_ms = 1500, write_latency_ms = 1500})
+local slow = c:load(20, {tasks = 4, run_ms = 30})
+c:await_answers()
+for _, job in ipairs(slow) do expect_complete(job) end
+-- After effect: the write is done, but its answer is lost.
+control(c.platform_address, {read_latency_ms = 0, write_latency_ms = 0, lose_answers = 1})
+local version = c.version
+local change = c:await_change(c:start_change(c.entries[1], version, "lost-answer", {agent_queue = 5}))
+if change.status ~= 200 then
+  -- The entry may say that it does not know; then the same change id must not be applied twice.
+  expect(change.body and not change.body.not_run, "the entry does not claim that the change was not applied")
+  change = c:await_change(c:start_change(c.entries[2], version, "lost-answer", {agent_queue = 5}))
+end
+expect(c:configuration(c.entries[3]).version == version + 1, "the change is applied once")
+control(c.platform_address, {lose_answers = 1})
+local first = with_key(c.entries[2], "key-with-lost-answer")
+local again = with_key(c.entries[3], "key-with-lost-answer")
+log("key with a lost answer: %s, again: %s", first.text, again.text)
