Add the process setting advertised_address

A process that is reached through a relay listens on one address and is known to its peers by another. Without the setting no link between one entry and one agent can be cut, because peers learn inner_address from announcements and go round the relay. It defaults to inner_address.

--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -29,6 +29,7 @@
         "description": "1 to 100 letters, digits, dots, hyphens or underscores"}},
     "caller_address": {"type": "string", "description": "IPv4:port, such as 10.0.0.5:8080"},
     "inner_address": {"type": "string", "description": "IPv4:port, such as 10.0.0.5:8081"},
+    "advertised_address": {"type": "string", "description": "IPv4:port, such as 10.0.0.5:8081"},
     "platform": {"type": "string", "pattern": "^https?://[^ ]+$",
       "description": "the URL of the platform, such as http://10.0.0.9:7000"},
     "entries": {"type": "array", "maxItems": 10000,
@@ -116,6 +117,7 @@
   CheckRole(document, errors);
   CheckAddress(document["caller_address"], "$.caller_address", errors);
   CheckAddress(document["inner_address"], "$.inner_address", errors);
+  CheckAddress(document["advertised_address"], "$.advertised_address", errors);
   const Json::Value& entries = document["entries"];
   for (Json::ArrayIndex i = 0; entries.isArray() && i < entries.size(); ++i) {
     CheckAddress(entries[i], "$.entries[" + std::to_string(i) + "]", errors);
@@ -156,6 +158,8 @@
                           : Strings(document["services"]);
   settings.caller_address = document.get("caller_address", "").asString();
   settings.inner_address = document["inner_address"].asString();
+  settings.advertised_address =
+      document.get("advertised_address", settings.inner_address).asString();
   settings.platform = document.get("platform", "").asString();
   settings.entries = Strings(document["entries"]);
   settings.endpoint = document.get("endpoint", "").asString();
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -29,6 +29,9 @@
   std::vector<std::string> services;
   std::string caller_address;
   std::string inner_address;
+  /// Address that other processes are told to call. Differs from inner_address when a relay or an
+  /// address translation stands in front of the process.
+  std::string advertised_address;
   /// URL of the platform, such as `http://127.0.0.1:7000`.
   std::string platform;
   /// Inner addresses of entries to contact first.
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -131,6 +131,19 @@
   }
 }
 
+// A default that is empty would make peers call no address at all.
+TEST(ProcessSettingsTest, AdvertisedAddressDefaultsToTheInnerAddress) {
+  Json::Value document = EntrySettings();
+  const auto plain = DecodeProcessSettings(document, "e1.json");
+  ASSERT_TRUE(IsOk(plain));
+  EXPECT_EQ(std::get<ProcessSettings>(plain).advertised_address, "127.0.0.1:8081");
+  document["advertised_address"] = "127.0.0.1:9081";
+  const auto relayed = DecodeProcessSettings(document, "e1.json");
+  ASSERT_TRUE(IsOk(relayed));
+  EXPECT_EQ(std::get<ProcessSettings>(relayed).advertised_address, "127.0.0.1:9081");
+  EXPECT_EQ(std::get<ProcessSettings>(relayed).inner_address, "127.0.0.1:8081");
+}
+
 // Without this check an agent starts, announces itself to nobody and logs nothing.
 TEST(ProcessSettingsTest, RoleDecidesWhatIsRequired) {
   Json::Value document = EntrySettings();
