--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -12,3 +12,27 @@
 target_link_libraries(quetzalvale-load PRIVATE quetzalvale_load docopt)
 quetzalvale_library(settings quetzalvale_protocol quetzalvale_core)
 list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_settings)
+
+quetzalvale_library(settings quetzalvale_protocol quetzalvale_core)
+list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_settings)
+
+# The operators' Python library.
+find_package(Python3 3.10 REQUIRED COMPONENTS Interpreter)
+add_test(NAME operator COMMAND ${Python3_EXECUTABLE} -B tests/operator/quetzalvale_test.py
+         WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+
+# The operators' command line.
+quetzalvale_library(client quetzalvale_core cpprest ssl crypto)
+quetzalvale_library(ctl quetzalvale_settings quetzalvale_client quetzalvale_protocol quetzalvale_runtime)
+add_executable(quetzalvale-ctl src/ctl/main.cc)
+target_link_libraries(quetzalvale-ctl PRIVATE quetzalvale_ctl docopt)
+list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_ctl quetzalvale_client)
+
+# The test harness for whole processes. scenarios/*.lua, except the common part lib.lua and the
+# demonstration, are tests.
+find_path(LUA_INCLUDE lua.hpp PATH_SUFFIXES lua5.4 REQUIRED)
+quetzalvale_library(scenario quetzalvale_load quetzalvale_client quetzalvale_protocol quetzalvale_runtime lua5.4 crypto)
+target_include_directories(quetzalvale_scenario SYSTEM PUBLIC ${LUA_INCLUDE})
+add_executable(quetzalvale-scenario src/scenario/main.cc)
+target_link_libraries(quetzalvale-scenario PRIVATE quetzalvale_scenario docopt)
+list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_scenario)
