--- /dev/null
+++ b/src/core/agent_directory.cc
@@ -0,0 +1,228 @@
+#include "core/agent_directory.h"
+
+#include <fnmatch.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace quetzalvale {
+namespace {
+
+/// Several times the largest fleet (750 endpoints).
+constexpr std::size_t kMaxAgents = 4096;
+
+/// More than the replacements of a day in the largest fleet.
+constexpr std::size_t kMaxRemoved = 512;
+
+/// Half of a subset is shared out evenly among the data centres.
+constexpr std::size_t kFloorPart = 2;
+
+}  // namespace
+
+bool MatchesPattern(const std::string& name, const std::string& pattern) {
+  std::string escaped;
+  for (const char character : pattern) {
+    if (character == '?' || character == '[' || character == '\\') {
+      escaped.push_back('\\');
+    }
+    escaped.push_back(character);
+  }
+  return fnmatch(escaped.c_str(), name.c_str(), 0) == 0;
+}
+
+int Agent::FreeSlots() const {
+  return std::max(0, this->announce.load.free_slots - this->unreported);
+}
+
+int Agent::Queued() const {
+  return this->announce.load.queued +
+         std::max(0, this->unreported - this->announce.load.free_slots);
+}
+
+AgentDirectory::AgentDirectory(Incarnation self) : self(self) {}
+
+Agent* AgentDirectory::Find(const Incarnation& agent) {
+  const auto found = this->agents.find(agent);
+  return found == this->agents.end() ? nullptr : &found->second;
+}
+
+std::optional<Incarnation> AgentDirectory::FindReplaced(const Announce& announce) const {
+  if (this->WasReplaced(announce.agent)) {
+    return std::nullopt;
+  }
+  for (const auto& [incarnation, agent] : this->agents) {
+    if (incarnation != announce.agent && agent.announce.address == announce.address &&
+        agent.announce.name == announce.name) {
+      return incarnation;
+    }
+  }
+  return std::nullopt;
+}
+
+bool AgentDirectory::WasReplaced(const Incarnation& agent) const {
+  return std::ranges::any_of(this->removed, [&](const Removed& gone) {
+    return gone.replaced && gone.item.agent == agent;
+  });
+}
+
+Agent* AgentDirectory::Accept(const Announce& announce, Time now) {
+  const auto found = this->agents.find(announce.agent);
+  if (found == this->agents.end() &&
+      (this->agents.size() >= kMaxAgents || this->WasReplaced(announce.agent))) {
+    return nullptr;
+  }
+  Agent& agent = this->agents[announce.agent];
+  if (found == this->agents.end()) {
+    // The incarnation may have been known, removed and forgotten; its channel goes on above every
+    // sequence that it can have seen.
+    agent.next_channel_sequence = this->highest_channel_sequence + 1;
+    // An address belongs to one process, so agents that were there before are gone for good. A
+    // delayed announcement of theirs must not replace this one.
+    for (Removed& gone : this->removed) {
+      gone.replaced = gone.replaced ||
+                      (gone.item.address == announce.address && gone.item.agent != announce.agent);
+    }
+    const auto service_patterns = this->patterns.find(announce.service);
+    agent.bound = service_patterns == this->patterns.end() ||
+                  std::ranges::any_of(service_patterns->second, [&](const std::string& pattern) {
+                    return MatchesPattern(announce.name, pattern);
+                  });
+  }
+  agent.announce = announce;
+  this->Hear(announce.agent, &announce.load, now);
+  return &agent;
+}
+
+void AgentDirectory::Hear(const Incarnation& incarnation, const AgentLoad* load, Time now) {
+  Agent* agent = this->Find(incarnation);
+  if (agent == nullptr) {
+    return;
+  }
+  agent->last_heard = now;
+  if (load != nullptr) {
+    agent->announce.load = *load;
+    agent->load_at = now;
+    agent->leaving = agent->leaving || load->leaving;
+  }
+}
+
+void AgentDirectory::Remove(const Incarnation& incarnation, bool replaced, Time now) {
+  const auto found = this->agents.find(incarnation);
+  if (found == this->agents.end()) {
+    return;
+  }
+  const Agent& agent = found->second;
+  Removed gone;
+  gone.replaced = replaced;
+  gone.removed_at = now;
+  gone.item = {agent.announce.service, incarnation, agent.announce.address, agent.first_roster, 0};
+  if (agent.first_roster != 0) {
+    gone.item.end_roster = ++this->roster_number;
+  }
+  this->removed.push_back(std::move(gone));
+  this->agents.erase(found);
+  while (this->removed.size() > kMaxRemoved) {
+    this->DropOldestRemoved();
+  }
+}
+
+void AgentDirectory::DropOldestRemoved() {
+  this->complete_from =
+      std::max(this->complete_from, this->removed.front().item.end_roster);
+  this->removed.pop_front();
+}
+
+void AgentDirectory::Expire(Time::duration kept, Time now) {
+  while (!this->removed.empty() && now - this->removed.front().removed_at >= kept) {
+    this->DropOldestRemoved();
+  }
+}
+
+std::uint64_t AgentDirectory::Score(const Agent& agent) const {
+  // By name, so that a restarted agent keeps its place.
+  const XXH64_hash_t entry = XXH64(&this->self, sizeof(this->self), 0);
+  return XXH64(agent.announce.name.data(), agent.announce.name.size(), entry);
+}
+
+void AgentDirectory::UpdateMembers(const std::string& service, std::size_t subset_size) {
+  struct Ranked {
+    std::uint64_t score;
+    Agent* agent;
+  };
+  std::vector<Ranked> ranked;
+  std::map<std::string, std::size_t> taken;
+  for (auto& [incarnation, agent] : this->agents) {
+    if (agent.announce.service != service) {
+      continue;
+    }
+    agent.member = false;
+    if (agent.bound && !agent.leaving) {
+      ranked.push_back({this->Score(agent), &agent});
+      taken[agent.announce.data_centre] = 0;
+    }
+  }
+  std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
+    return std::pair(a.score, a.agent->announce.agent) > std::pair(b.score, b.agent->announce.agent);
+  });
+  const std::size_t wanted = std::min(ranked.size(), std::max<std::size_t>(1, subset_size));
+  std::size_t members = 0;
+  if (wanted < ranked.size()) {
+    const std::size_t floor =
+        std::max<std::size_t>(1, subset_size / (kFloorPart * std::max<std::size_t>(1, taken.size())));
+    for (const Ranked& candidate : ranked) {
+      std::size_t& in_centre = taken[candidate.agent->announce.data_centre];
+      if (in_centre < floor) {
+        ++in_centre;
+        ++members;
+        candidate.agent->member = true;
+      }
+    }
+  }
+  for (const Ranked& candidate : ranked) {
+    if (members < wanted && !candidate.agent->member) {
+      ++members;
+      candidate.agent->member = true;
+    }
+    if (candidate.agent->member && candidate.agent->first_roster == 0) {
+      candidate.agent->first_roster = ++this->roster_number;
+    }
+  }
+}
+
+void AgentDirectory::Bind(const std::string& service,
+                          const std::vector<std::string>& service_patterns) {
+  this->patterns[service] = service_patterns;
+  for (auto& [incarnation, agent] : this->agents) {
+    if (agent.announce.service == service) {
+      agent.bound = std::ranges::any_of(service_patterns, [&](const std::string& pattern) {
+        return MatchesPattern(agent.announce.name, pattern);
+      });
+    }
+  }
+}
+
+std::uint64_t AgentDirectory::NextChannelSequence(Agent& agent) {
+  const std::uint64_t sequence = agent.next_channel_sequence++;
+  this->highest_channel_sequence = std::max(this->highest_channel_sequence, sequence);
+  return sequence;
+}
+
+std::vector<RosterItem> AgentDirectory::Roster() const {
+  std::vector<RosterItem> roster;
+  for (const auto& [incarnation, agent] : this->agents) {
+    if (agent.first_roster != 0) {
+      roster.push_back({agent.announce.service, incarnation, agent.announce.address,
+                        agent.first_roster, 0});
+    }
+  }
+  for (const Removed& gone : this->removed) {
+    if (gone.item.first_roster != 0) {
+      roster.push_back(gone.item);
+    }
+  }
+  return roster;
+}
+
+}  // namespace quetzalvale
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -1,128 +1,176 @@
 #include "core/entry_core.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalvale {
+namespace {
 
-EntryCore::EntryCore(EntryInfo self, std::vector<std::string> services,
+/// Ticks come every 100 ms at most; after a gap longer than this the process was paused, and what
+/// others sent meanwhile has yet to be handled.
+constexpr Milliseconds kPauseGap{500};
+
+/// Timers other than job deadlines are looked at this often.
+constexpr Milliseconds kSweepInterval{5};
+constexpr std::chrono::seconds kExpiryInterval{1};
+
+}  // namespace
+
+EntryCore::EntryCore(EntryInfo self_info, std::vector<std::string> service_names,
                      std::vector<std::string> seed_addresses, std::uint64_t seed)
-    : self(std::move(self)),
-      services(std::move(services)),
-      seed_addresses(std::move(seed_addresses)),
-      random(seed) {}
+    : self(std::move(self_info)),
+      random(seed),
+      directory(this->self.incarnation),
+      peers(this->self, seed_addresses) {
+  for (const std::string& name : service_names) {
+    this->services.try_emplace(name, name, this->self.incarnation);
+  }
+}
 
-std::vector<EntryAction> EntryCore::Handle(Time /*now*/, const EntryEvent& event) {
-  this->actions.clear();
+std::vector<EntryAction> EntryCore::Handle(Time event_time, const EntryEvent& event) {
+  this->Advance(event_time);
   std::visit([this](const auto& typed) { this->On(typed); }, event);
-  return std::move(this->actions);
+  this->Finish();
+  return std::exchange(this->actions, {});
 }
 
-void EntryCore::On(const JobSubmitted& event) {
-  const auto& submission = event.submission;
-  if (this->agents.empty() || !submission.ticket) {
-    Answer answer;
-    answer.error = ErrorKind::kNotReady;
-    answer.message = "no agent has announced itself; submit again later";
-    answer.not_run = true;
-    this->actions.emplace_back(AnswerCaller{event.request, std::move(answer)});
-    return;
+void EntryCore::Advance(Time event_time) {
+  const Time before = this->now;
+  this->now = std::max(this->now, event_time);
+  if (!this->started) {
+    this->started = true;
+    this->started_at = this->now;
+  } else if (this->now - before > kPauseGap) {
+    this->grace_until = this->now + this->Health().heartbeat;
+    this->Log(1001, "entry_paused",
+              "gap_ms=" + std::to_string(
+                              std::chrono::duration_cast<Milliseconds>(this->now - before).count()));
   }
-  const auto& [incarnation, agent] = *this->agents.begin();
-  StartRequest start{.owner = this->self.incarnation,
-                     .owner_address = this->self.address,
-                     .agent = incarnation,
-                     .channel_sequence = this->next_channel_sequence++,
-                     .lease = Milliseconds(3000)};
-  for (std::uint32_t index = 0; index < submission.tasks.size(); ++index) {
-    start.items.push_back({{*submission.ticket, index},
-                           submission.kind,
-                           submission.tasks[index],
-                           Milliseconds(10000)});
+  for (const std::uint64_t job : this->jobs.Due(this->now)) {
+    this->OnJobDue(job);
   }
-  this->jobs[*submission.ticket] = {event.request, submission,
-                                    std::vector<std::string>(submission.tasks.size()),
-                                    submission.tasks.size()};
-  this->counters.tasks_started += start.items.size();
-  this->actions.emplace_back(SendStart{agent.address, std::move(start)});
-}
-
-void EntryCore::On(const TicketsRequested& event) {
-  std::vector<Ticket> tickets;
-  for (std::uint32_t i = 0; i < event.count; ++i) {
-    tickets.push_back({event.service, this->self.incarnation, this->next_sequence++, 1});
+  if (this->now >= this->next_sweep) {
+    this->next_sweep = this->now + kSweepInterval;
+    this->Sweep();
   }
-  this->actions.emplace_back(GrantTickets{event.request, std::move(tickets)});
 }
 
-void EntryCore::On(const AgentAnnounced& event) {
-  this->agents[event.announce.agent] = event.announce;
-  this->actions.emplace_back(ReplyAnnounce{event.request, {this->self, {this->self}, 0}});
+void EntryCore::Sweep() {
+  this->SweepAgents();
+  this->SendHellos();
+  this->SweepForwards();
+  this->SweepSalvages();
+  this->SendAnswers();
+  this->withdrawals_changed = true;
+  if (this->now < this->next_expiry) {
+    return;
+  }
+  this->next_expiry = this->now + kExpiryInterval;
+  Time::duration kept{0};
+  for (auto& [name, service] : this->services) {
+    const auto& tickets = service.configuration->tickets;
+    service.ledger.Expire(this->now);
+    kept = std::max<Time::duration>(kept, tickets.valid + tickets.answer_kept);
+  }
+  for (const auto& [entry, peer] : this->peers.Peers()) {
+    if (this->IsPeerAlive(entry)) {
+      continue;
+    }
+    for (auto& [name, service] : this->services) {
+      service.quotas.ForgetPeer(entry);
+    }
+  }
+  this->directory.Expire(kept, this->now);
+  this->salvaged.Expire(this->now);
+  std::erase_if(this->adopted, [&](const auto& element) {
+    return this->now - element.second.adopted >= kept;
+  });
 }
 
-void EntryCore::On(const StartReplied& event) {
-  if (const auto* reply = std::get_if<StartReply>(&event.reply)) {
-    for (const auto& outcome : reply->outcomes) {
-      this->Settle(outcome);
+void EntryCore::Finish() {
+  this->UpdateMembers();
+  for (auto& [name, service] : this->services) {
+    if (std::exchange(service.jobs_at_risk, false)) {
+      this->RefuseHopelessJobs(service);
     }
+    this->PlaceTasks(service);
+  }
+  this->SendStarts();
+  if (std::exchange(this->withdrawals_changed, false)) {
+    this->SendWithdrawals();
   }
+  this->TellRoster();
+  this->AdvanceDeparture();
 }
 
-void EntryCore::On(const OutcomesReceived& event) {
-  for (const auto& outcome : event.message.outcomes) {
-    this->Settle(outcome);
+void EntryCore::On(const Tick& /*event*/) {}
+
+void EntryCore::On(const ConfigurationChanged& event) {
+  ServiceState* service =
+      event.configuration ? this->FindService(event.configuration->service) : nullptr;
+  if (service == nullptr || !service->Apply(event.configuration)) {
+    return;
   }
-  this->actions.emplace_back(ReplyOutcomes{event.request, {this->self.incarnation, 0}});
+  this->directory.Bind(service->name, service->configuration->endpoints);
+  service->jobs_at_risk = true;
+  this->Log(1002, "configuration_applied",
+            "service=" + service->name +
+                " version=" + std::to_string(service->configuration->version));
 }
 
-void EntryCore::On(const HelloReceived& event) {
-  Hello reply;
-  reply.entry = this->self;
-  this->actions.emplace_back(ReplyHello{event.request, std::move(reply)});
+ServiceState* EntryCore::FindService(std::string_view name) {
+  const auto found = this->services.find(name);
+  return found == this->services.end() ? nullptr : &found->second;
 }
 
-void EntryCore::On(const ConfigurationChanged& event) {
-  this->configurations[event.configuration->service] = event.configuration;
+const ServiceState* EntryCore::FindService(std::string_view name) const {
+  const auto found = this->services.find(name);
+  return found == this->services.end() ? nullptr : &found->second;
 }
 
-void EntryCore::On(const LeaveRequested& /*event*/) {
-  this->leaving = true;
-  this->actions.emplace_back(Departed{});
+ServiceConfiguration::Health EntryCore::Health() const {
+  for (const auto& [name, service] : this->services) {
+    if (service.IsConfigured()) {
+      return service.configuration->health;
+    }
+  }
+  return {};
 }
 
-void EntryCore::Settle(const Outcome& outcome) {
-  const auto found = this->jobs.find(outcome.task.ticket);
-  if (found == this->jobs.end()) {
-    return;
-  }
-  Job& job = found->second;
-  job.results[outcome.task.index] = outcome.result;
-  if (--job.open > 0) {
-    return;
-  }
-  Answer answer;
-  answer.status = AnswerStatus::kComplete;
-  answer.ticket = outcome.task.ticket;
-  answer.results = std::move(job.results);
-  ++this->counters.jobs_complete;
-  this->actions.emplace_back(AnswerCaller{job.request, std::move(answer)});
-  this->jobs.erase(found);
+void EntryCore::Log(int number, std::string_view name, std::string details) {
+  this->Do(LogEvent{number, std::string(name), std::move(details)});
 }
 
-EntryStatus EntryCore::Status(Time /*now*/) const {
+EntryStatus EntryCore::Status(Time status_time) const {
   EntryStatus status;
   status.self = this->self;
-  status.leaving = this->leaving;
+  status.leaving = this->IsLeaving();
+  status.roster_number = this->directory.RosterNumber();
+  status.peers = this->peers.Alive(this->Health().agent_dead, status_time);
   status.counters = this->counters;
-  for (const auto& service : this->services) {
+  for (const auto& [name, service] : this->services) {
     ServiceStatus entry;
-    entry.service = service;
-    const auto found = this->configurations.find(service);
-    entry.configuration_version = found == this->configurations.end() ? 0 : found->second->version;
+    entry.service = name;
+    entry.configuration_version = service.configuration->version;
+    entry.peer_configuration_version =
+        this->peers.HighestVersion(name, this->Health().agent_dead, status_time);
+    entry.queued_tasks = service.queue.Size();
+    entry.jobs_in_progress = this->jobs.Unanswered(name);
+    for (const auto& [incarnation, agent] : this->directory.Agents()) {
+      if (agent.announce.service != name) {
+        continue;
+      }
+      entry.agents.push_back({agent.announce.name, incarnation, agent.announce.address,
+                              agent.outstanding.size(), agent.leaving,
+                              !service.health.IsAvailable(agent.announce.name),
+                              status_time - agent.last_heard >=
+                                  service.configuration->health.agent_lost});
+    }
     status.services.push_back(std::move(entry));
   }
   return status;
 }
 
-void EntryCore::SetPlacement(PlacementHook hook) { this->placement = std::move(hook); }
+void EntryCore::SetPlacement(PlacementHook hook) { this->placement_override = std::move(hook); }
 
 }  // namespace quetzalvale
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -1,65 +1,249 @@
 /// Decision logic of an entry.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
-#include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "core/admission.h"
+#include "core/agent_directory.h"
+#include "core/answer_outbox.h"
+#include "core/answer_store.h"
 #include "core/entry_events.h"
 #include "core/entry_status.h"
+#include "core/forward_table.h"
+#include "core/job_table.h"
+#include "core/peer_table.h"
 #include "core/placement.h"
+#include "core/salvage.h"
+#include "core/service_state.h"
+#include "core/start_batcher.h"
 
 namespace quetzalvale {
 
 /// Turns events into actions. Owns the tickets of one entry incarnation and the jobs submitted with
-/// them. Not thread-safe; `now` never goes backwards.
+/// them. Not thread-safe. A `now` earlier than the last one counts as the last one.
 class EntryCore {
  public:
   /// `seed_addresses` are the inner addresses of other entries known from the settings.
   EntryCore(EntryInfo self, std::vector<std::string> services,
             std::vector<std::string> seed_addresses, std::uint64_t seed);
 
-  std::vector<EntryAction> Handle(Time now, const EntryEvent& event);
+  std::vector<EntryAction> Handle(Time event_time, const EntryEvent& event);
 
-  EntryStatus Status(Time now) const;
+  EntryStatus Status(Time status_time) const;
 
   /// Replaces the configured placement policy of every service, for tests.
   void SetPlacement(PlacementHook hook);
 
  private:
-  struct Job {
-    RequestId request = 0;
+  using TicketAnswers = AnswerStore<Ticket>;
+
+  /// A submission with a caller's own key, while the key is being claimed.
+  struct KeyClaim {
     Submission submission;
-    std::vector<std::string> results;
-    std::size_t open = 0;
+    bool caller_gone = false;
+  };
+
+  /// Why a submission is refused.
+  struct Refusal {
+    ErrorKind kind = ErrorKind::kInternal;
+    std::string message;
+    bool not_run = false;
+  };
+
+  struct SalvagedJob {
+    Salvage salvage;
+    std::uint64_t body_hash = 0;
+    std::vector<Waiter> waiters;
+  };
+
+  struct AdoptedLedger {
+    TicketLedger ledger;
+    Time adopted{};
+  };
+
+  /// An agent that may take a task now.
+  struct Usable {
+    Agent* agent = nullptr;
+    Candidate candidate;
+    bool probe = false;
   };
 
+  struct Departure {
+    enum class Stage { kNone, kFinishing, kHandingOver, kTelling, kDeparted };
+    Stage stage = Stage::kNone;
+    std::vector<HandOver> parts;
+    std::size_t next_part = 0;
+    bool in_flight = false;
+    std::optional<EntryInfo> successor;
+    std::vector<Incarnation> tried;
+    Time next_choice{};
+    Time give_up{};
+  };
+
+  // Events; one handler each.
   void On(const JobSubmitted& event);
   void On(const TicketsRequested& event);
+  void On(const JobQueried& event);
+  void On(const JobCancelled& event);
+  void On(const CallerGone& event);
+  void On(const KeyClaimed& event);
   void On(const AgentAnnounced& event);
   void On(const StartReplied& event);
+  void On(const WithdrawReplied& event);
+  void On(const SealReplied& event);
   void On(const OutcomesReceived& event);
   void On(const HelloReceived& event);
+  void On(const HelloReplied& event);
+  void On(const ForwardReceived& event);
+  void On(const ForwardReplied& event);
+  void On(const AnswerReceived& event);
+  void On(const AnswerReplied& event);
+  void On(const HandOverReceived& event);
+  void On(const HandOverReplied& event);
   void On(const ConfigurationChanged& event);
   void On(const LeaveRequested& event);
-  template <typename Event>
-  void On(const Event& /*event*/) {}
-  void Settle(const Outcome& outcome);
+  void On(const Tick& event);
+
+  // Time and common parts (entry_core.cc).
+  void Advance(Time event_time);
+  void Sweep();
+  void Finish();
+  ServiceState* FindService(std::string_view name);
+  const ServiceState* FindService(std::string_view name) const;
+  ServiceConfiguration::Health Health() const;
+  void Log(int number, std::string_view name, std::string details);
+  template <typename Action>
+  void Do(Action action) {
+    this->actions.emplace_back(std::move(action));
+  }
+
+  // Submissions (entry_core_submissions.cc).
+  void Submit(const Waiter& waiter, const Submission& submission);
+  void SubmitOwn(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  void SubmitUnused(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  void ClaimKeyFor(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  std::optional<Refusal> CheckSubmission(ServiceState& service, const Submission& submission);
+  LoadView Load(const ServiceState& service, const Submission& submission) const;
+  void TakeJob(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  bool Attach(Job& job, const Waiter& waiter, std::uint64_t body_hash);
+  void AnswerFromLedger(const TicketLedger& ledger, const Waiter& waiter, const Ticket& ticket,
+                        const std::uint64_t* body_hash);
+  Result<std::optional<Answer>> LookUp(const Ticket& ticket);
+  static Milliseconds JobDeadline(const ServiceState& service, const Submission& submission);
+
+  // Answers (entry_core_jobs.cc).
+  void Deliver(const Waiter& waiter, Answer answer);
+  void Refuse(const Waiter& waiter, const Refusal& refusal, const std::optional<Ticket>& ticket);
+  void FailJob(Job& job, std::string reason, std::string message, bool stop_running);
+  void DropTask(Job& job, std::uint32_t index);
+  /// Answers the job if its answer is known. The job may be gone afterwards.
+  void TryAnswer(Job& job);
+  void AnswerJob(Job& job, Answer answer);
+  void EndTask(Job& job, std::uint32_t index, TaskState state);
+  void EraseIfEnded(std::uint64_t job);
+  void OnJobDue(std::uint64_t id);
+  void RefuseHopelessJobs(ServiceState& service);
+  bool HasPossibleAgent(const Job& job) const;
+  void Count(const Answer& answer);
+
+  // Starts (entry_core_starts.cc).
+  void PlaceTasks(ServiceState& service);
+  std::vector<Usable> UsableAgents(ServiceState& service);
+  bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
+  bool HasRoom(const ServiceState& service, const Agent& agent) const;
+  bool Place(ServiceState& service, Job& job, std::uint32_t index, std::vector<Usable>& usable,
+             std::uint32_t waiting_ahead);
+  bool MayRetry(ServiceState& service, const Task& task);
+  void Assign(ServiceState& service, Job& job, std::uint32_t index, Usable& usable);
+  void SendStarts();
+  void SendBatch(const StartBatcher::Batch& batch);
+  void SendWithdrawals();
+  void SettleStart(const StartReply& reply, const Incarnation& agent, std::uint64_t sequence,
+                   const std::vector<TaskRef>& tasks);
+  void OnRefusal(const TaskRef& task, const Incarnation& agent, StartRefusal refusal);
+  void ProvenNotRun(const TaskRef& task);
+  void Withdraw(const TaskRef& task, bool stop_running);
+  void ApplyOutcome(const Incarnation& agent, const Outcome& outcome);
+  void ApplyReport(const WithdrawReplied& event, const TaskReport& report);
+  /// Returns the task if this start of it is not settled.
+  Task* FindSent(const TaskRef& ref, const Incarnation& agent, std::uint64_t sequence);
+  void Pause(Agent& agent);
+
+  // Agents (entry_core_agents.cc).
+  void SweepAgents();
+  void RemoveAgent(Incarnation agent, bool replaced);
+  bool IsLost(const Agent& agent) const;
+  void UpdateMembers();
+
+  // Salvage (entry_core_salvage.cc).
+  void StartSalvage(const Waiter& waiter, const Submission& submission, Time deadline);
+  void SweepSalvages();
+  void SendSeals(const Ticket& ticket, Salvage& salvage);
+  void FinishSalvage(const Ticket& ticket);
+
+  // Peers (entry_core_peers.cc).
+  Hello MakeHello(bool with_roster) const;
+  void SendHellos();
+  void TellRoster();
+  void ReadHello(const Hello& hello);
+  void SubmitForeign(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  bool AnswerForeign(const Waiter& waiter, const Ticket& ticket, std::uint64_t body_hash);
+  void SweepForwards();
+  void DriveForward(Forward& forward);
+  void SendAnswers();
+  bool IsPeerAlive(const Incarnation& entry) const;
+  AdoptedLedger* FindAdopted(const Ticket& ticket);
+
+  // Departure (entry_core_departure.cc).
+  void AdvanceDeparture();
+  void BeginHandOver();
+  void ContinueHandOver();
+  void ChooseSuccessor();
+  void TellSuccession();
+  bool IsLeaving() const { return this->departure.stage != Departure::Stage::kNone; }
 
   EntryInfo self;
-  std::vector<std::string> services;
-  std::vector<std::string> seed_addresses;
   Random random;
-  PlacementHook placement;
-  std::uint64_t next_sequence = 1;
-  std::uint64_t next_channel_sequence = 1;
-  std::map<std::string, std::shared_ptr<const ServiceConfiguration>> configurations;
-  std::map<Incarnation, Announce> agents;
-  std::map<Ticket, Job> jobs;
+  Time now{};
+  bool started = false;
+  Time started_at{};
+  /// After a pause of this process nothing is declared dead before this time.
+  Time grace_until{};
+  Time next_sweep{};
+  Time next_expiry{};
+  std::map<std::string, ServiceState, std::less<>> services;
+  PlacementHook placement_override;
+
+  AgentDirectory directory;
+  JobTable jobs;
+  StartBatcher batcher;
+  /// Some withdrawal was asked for since the last round.
+  bool withdrawals_changed = false;
+
+  /// Tickets of local requests that wait for a job or a salvage.
+  std::unordered_map<RequestId, Ticket> callers;
+  std::map<RequestId, KeyClaim> key_claims;
+
+  PeerTable peers;
+  std::uint64_t told_roster = 0;
+  Time next_roster_hello{};
+  ForwardTable forwards;
+  AnswerOutbox outbox;
+  std::map<Ticket, SalvagedJob> salvages;
+  TicketAnswers salvaged;
+  std::map<std::pair<Incarnation, std::string>, AdoptedLedger> adopted;
+
+  Departure departure;
   EntryCounters counters;
-  bool leaving = false;
   std::vector<EntryAction> actions;
 };
 
--- /dev/null
+++ b/src/core/entry_core_agents.cc
@@ -0,0 +1,119 @@
+// Agents as they announce themselves, leave and are lost.
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "core/entry_core.h"
+
+namespace quetzalvale {
+
+void EntryCore::On(const AgentAnnounced& event) {
+  ++this->counters.announcements_received;
+  const Announce& announce = event.announce;
+  ServiceState* service = this->FindService(announce.service);
+  if (service != nullptr) {
+    if (const auto replaced = this->directory.FindReplaced(announce)) {
+      this->RemoveAgent(*replaced, true);
+    }
+    const Agent* before = this->directory.Find(announce.agent);
+    const bool was_leaving = before != nullptr && before->leaving;
+    const Agent* agent = this->directory.Accept(announce, this->now);
+    if (agent != nullptr && (before == nullptr || agent->leaving != was_leaving)) {
+      service->members_changed = true;
+      service->jobs_at_risk = true;
+      this->Log(agent->leaving ? 1005 : 1004, agent->leaving ? "agent_leaving" : "agent_added",
+                "agent=" + announce.name + " incarnation=" + announce.agent.Text());
+    }
+  }
+  AnnounceReply reply;
+  reply.entry = this->self;
+  reply.entries = this->peers.Alive(this->Health().agent_dead, this->now);
+  reply.configuration_version = service == nullptr ? 0 : service->configuration->version;
+  this->Do(ReplyAnnounce{event.request, std::move(reply)});
+}
+
+bool EntryCore::IsLost(const Agent& agent) const {
+  const ServiceState* service = this->FindService(agent.announce.service);
+  return this->now - agent.last_heard >= service->configuration->health.agent_lost;
+}
+
+void EntryCore::SweepAgents() {
+  std::vector<Incarnation> gone;
+  for (auto& [incarnation, agent] : this->directory.Agents()) {
+    ServiceState* service = this->FindService(agent.announce.service);
+    if (agent.leaving && agent.member) {
+      service->members_changed = true;
+      service->jobs_at_risk = true;
+    }
+    const auto& health = service->configuration->health;
+    const auto silent = this->now - agent.last_heard;
+    const bool has_left =
+        agent.leaving && agent.outstanding.empty() && silent >= health.agent_lost;
+    if (this->now >= this->grace_until && (silent >= health.agent_dead || has_left)) {
+      gone.push_back(incarnation);
+    }
+  }
+  for (const Incarnation& agent : gone) {
+    this->RemoveAgent(agent, false);
+  }
+}
+
+void EntryCore::RemoveAgent(Incarnation incarnation, bool replaced) {
+  const Agent* agent = this->directory.Find(incarnation);
+  if (agent == nullptr) {
+    return;
+  }
+  ServiceState& service = *this->FindService(agent->announce.service);
+  const std::string name = agent->announce.name;
+  std::set<std::uint64_t> lost_jobs;
+  const auto outstanding = agent->outstanding;
+  for (const auto& [ref, expected] : outstanding) {
+    Job& job = *this->jobs.Find(ref.job);
+    Task& task = job.tasks[ref.index];
+    if (task.state == TaskState::kBatched) {
+      // No start was sent, so the task goes back to the queue as it was.
+      this->batcher.Remove(incarnation, ref);
+      task.state = TaskState::kWaiting;
+      task.agent = {};
+      service.queue.Add(ref, job.urgency, job.deadline, task.expected);
+    } else {
+      this->EndTask(job, ref.index, TaskState::kUnknown);
+      lost_jobs.insert(ref.job);
+    }
+  }
+  this->directory.Remove(incarnation, replaced, this->now);
+  service.members_changed = true;
+  service.jobs_at_risk = true;
+  const bool other_incarnation =
+      std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
+        return element.second.announce.name == name;
+      });
+  if (!replaced && !other_incarnation) {
+    service.health.Forget(name);
+    service.model.Forget(name);
+  }
+  this->Log(1006, "agent_removed",
+            "agent=" + name + " incarnation=" + incarnation.Text() +
+                " replaced=" + (replaced ? "true" : "false") +
+                " unknown_tasks=" + std::to_string(lost_jobs.size()));
+  for (const std::uint64_t id : lost_jobs) {
+    if (Job* job = this->jobs.Find(id)) {
+      this->FailJob(*job, "outcome_unknown",
+                    "the agent of endpoint \"" + name +
+                        "\" was lost with tasks of the job; check what they did before submitting "
+                        "the work again under a new ticket",
+                    false);
+    }
+  }
+}
+
+void EntryCore::UpdateMembers() {
+  for (auto& [name, service] : this->services) {
+    if (service.IsConfigured() && std::exchange(service.members_changed, false)) {
+      this->directory.UpdateMembers(name, service.configuration->subset_size);
+    }
+  }
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/entry_core_jobs.cc
@@ -0,0 +1,209 @@
+// Answers to jobs, and the end of their tasks.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/entry_core.h"
+
+namespace quetzalvale {
+namespace {
+
+/// How long a failed job waits for the proof that nothing of it ran.
+constexpr Milliseconds kProofWait{500};
+
+}  // namespace
+
+void EntryCore::Count(const Answer& answer) {
+  switch (answer.status) {
+    case AnswerStatus::kComplete:
+      ++this->counters.jobs_complete;
+      break;
+    case AnswerStatus::kFailed:
+      ++this->counters.jobs_failed[answer.reason];
+      break;
+    case AnswerStatus::kRefused:
+      ++this->counters.jobs_refused[answer.error];
+      break;
+  }
+}
+
+void EntryCore::Deliver(const Waiter& waiter, Answer answer) {
+  switch (waiter.kind) {
+    case Waiter::Kind::kNobody:
+      return;
+    case Waiter::Kind::kPeer:
+      this->outbox.Add(waiter.peer, waiter.request, std::move(answer), this->now);
+      this->SendAnswers();
+      return;
+    case Waiter::Kind::kQuery:
+      this->Do(AnswerQuery{waiter.request, std::optional<Answer>(std::move(answer))});
+      return;
+    case Waiter::Kind::kCaller:
+      break;
+  }
+  this->callers.erase(waiter.request);
+  answer.fresh_tickets.clear();
+  ServiceState* service = answer.ticket ? this->FindService(answer.ticket->service) : nullptr;
+  if (service != nullptr && service->IsConfigured() && !this->IsLeaving()) {
+    answer.fresh_tickets = service->ledger.Issue(1, this->directory.RosterNumber(), this->now);
+  }
+  this->Do(AnswerCaller{waiter.request, std::move(answer)});
+}
+
+void EntryCore::Refuse(const Waiter& waiter, const Refusal& refusal,
+                       const std::optional<Ticket>& ticket) {
+  Answer answer;
+  answer.status = AnswerStatus::kRefused;
+  answer.ticket = ticket;
+  answer.error = refusal.kind;
+  answer.message = refusal.message;
+  answer.not_run = refusal.not_run;
+  this->Count(answer);
+  this->Deliver(waiter, std::move(answer));
+}
+
+void EntryCore::FailJob(Job& job, std::string reason, std::string message, bool stop_running) {
+  if (job.answered && !stop_running) {
+    this->EraseIfEnded(job.id);
+    return;
+  }
+  if (!job.failure && !job.answered) {
+    job.failure = Job::Failure{std::move(reason), std::move(message), this->now + kProofWait};
+    this->jobs.SetDue(job, job.failure->until);
+  }
+  for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+    const Task& task = job.tasks[index];
+    if (task.state == TaskState::kWaiting || task.state == TaskState::kBatched) {
+      this->DropTask(job, index);
+    } else if (task.state == TaskState::kSent && (stop_running || !task.runs)) {
+      this->Withdraw({job.id, index}, stop_running);
+    }
+  }
+  this->TryAnswer(job);
+}
+
+void EntryCore::DropTask(Job& job, std::uint32_t index) {
+  const TaskRef ref{job.id, index};
+  if (job.tasks[index].state == TaskState::kWaiting) {
+    this->FindService(job.ticket.service)->queue.Remove(ref);
+  }
+  this->EndTask(job, index, TaskState::kNotRun);
+}
+
+void EntryCore::EndTask(Job& job, std::uint32_t index, TaskState state) {
+  Task& task = job.tasks[index];
+  const TaskRef ref{job.id, index};
+  if (Agent* agent = this->directory.Find(task.agent)) {
+    agent->outstanding.erase(ref);
+    agent->withdrawals.Remove(ref);
+    if (task.state == TaskState::kBatched) {
+      --agent->unreported;
+    }
+  }
+  if (task.state == TaskState::kBatched) {
+    this->batcher.Remove(task.agent, ref);
+  }
+  task.state = state;
+  task.spec.payload = std::string();
+  --job.open;
+  if (state == TaskState::kDone) {
+    ++job.done;
+  }
+}
+
+void EntryCore::TryAnswer(Job& job) {
+  if (job.answered) {
+    this->EraseIfEnded(job.id);
+    return;
+  }
+  Answer answer;
+  answer.ticket = job.ticket;
+  if (!job.failure) {
+    if (job.done < job.tasks.size()) {
+      return;
+    }
+    answer.status = AnswerStatus::kComplete;
+    for (Task& task : job.tasks) {
+      answer.results.push_back(std::move(task.result));
+    }
+    this->AnswerJob(job, std::move(answer));
+    return;
+  }
+  const auto ran = [](const Task& task) {
+    return task.runs || task.state == TaskState::kDone || task.state == TaskState::kFailed ||
+           task.state == TaskState::kUnknown;
+  };
+  const bool any_ran = std::ranges::any_of(job.tasks, ran);
+  if (!any_ran && job.open > 0 && this->now < job.failure->until) {
+    return;
+  }
+  answer.status = AnswerStatus::kFailed;
+  answer.reason = job.failure->reason;
+  answer.message = job.failure->message;
+  answer.not_run = !any_ran && job.open == 0;
+  if (answer.not_run && answer.reason == "no_agents") {
+    answer.status = AnswerStatus::kRefused;
+    answer.error = ErrorKind::kTicketExpired;
+    answer.reason.clear();
+  }
+  this->AnswerJob(job, std::move(answer));
+}
+
+void EntryCore::AnswerJob(Job& job, Answer answer) {
+  this->Count(answer);
+  ServiceState& service = *this->FindService(job.ticket.service);
+  service.ledger.KeepAnswer(job.ticket.sequence, job.body_hash, answer, this->now);
+  const std::vector<Waiter> waiters = std::move(job.waiters);
+  const std::uint64_t id = job.id;
+  this->jobs.MarkAnswered(job);
+  for (const Waiter& waiter : waiters) {
+    this->Deliver(waiter, answer);
+  }
+  this->EraseIfEnded(id);
+}
+
+void EntryCore::EraseIfEnded(std::uint64_t id) {
+  const Job* job = this->jobs.Find(id);
+  if (job != nullptr && job->answered && job->open == 0) {
+    this->jobs.Remove(id);
+  }
+}
+
+void EntryCore::OnJobDue(std::uint64_t id) {
+  Job* job = this->jobs.Find(id);
+  if (job == nullptr) {
+    return;
+  }
+  if (job->failure) {
+    this->TryAnswer(*job);
+    return;
+  }
+  this->FailJob(*job, "deadline",
+                "the job's deadline passed before all tasks ended; submit new work with a longer "
+                "deadline or later",
+                false);
+}
+
+bool EntryCore::HasPossibleAgent(const Job& job) const {
+  return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
+    const Agent& agent = element.second;
+    return agent.member && !agent.leaving && agent.announce.service == job.ticket.service &&
+           agent.first_roster <= job.ticket.roster &&
+           std::ranges::find(job.excluded, element.first) == job.excluded.end();
+  });
+}
+
+void EntryCore::RefuseHopelessJobs(ServiceState& service) {
+  for (const std::uint64_t id : this->jobs.Ids(service.name)) {
+    Job& job = *this->jobs.Find(id);
+    const bool waits = std::ranges::any_of(
+        job.tasks, [](const Task& task) { return task.state == TaskState::kWaiting; });
+    if (!job.failure && waits && !this->HasPossibleAgent(job)) {
+      this->FailJob(job, "no_agents",
+                    "no agent that the ticket may use is left; submit again with a fresh ticket",
+                    false);
+    }
+  }
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/entry_core_peers.cc
@@ -0,0 +1,313 @@
+// Other entries: hellos, forwarded submissions and their answers.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/entry_core.h"
+
+namespace quetzalvale {
+namespace {
+
+/// A fleet that starts at once announces itself within this time in a few hellos, not in one per
+/// agent.
+constexpr Milliseconds kRosterHelloInterval{50};
+
+/// The owner answers at the job's deadline at the latest, and waits up to 500 ms for proof.
+constexpr Milliseconds kOwnerSlack{2000};
+
+}  // namespace
+
+// ---- Hellos ----
+
+Hello EntryCore::MakeHello(bool with_roster) const {
+  Hello hello;
+  hello.entry = this->self;
+  hello.leaving = this->IsLeaving();
+  hello.entries = this->peers.Alive(this->Health().agent_dead, this->now);
+  if (with_roster) {
+    hello.roster = this->directory.Roster();
+    hello.roster_number = this->directory.RosterNumber();
+    hello.complete_from = this->directory.CompleteFrom();
+  }
+  for (const auto& [name, service] : this->services) {
+    hello.configuration_versions[name] = service.configuration->version;
+    for (const TeamConfiguration& team : service.configuration->teams) {
+      hello.demand[{name, team.name}] = service.quotas.Demand(team.name, this->now);
+    }
+  }
+  hello.successions = this->peers.Successions();
+  if (this->departure.stage == Departure::Stage::kTelling && this->departure.successor) {
+    hello.successions.push_back({this->self.incarnation, *this->departure.successor});
+  }
+  return hello;
+}
+
+void EntryCore::SendHellos() {
+  for (const std::string& address : this->peers.TakeDue(this->Health().heartbeat, this->now)) {
+    const std::uint64_t number = this->directory.RosterNumber();
+    const bool with_roster =
+        number != 0 && this->peers.NeedsRoster(address, number, this->now);
+    this->peers.HelloSent(address, with_roster ? number : 0, this->now);
+    ++this->counters.hellos_sent;
+    this->Do(SendHello{address, this->MakeHello(with_roster)});
+  }
+}
+
+void EntryCore::TellRoster() {
+  if (this->told_roster == this->directory.RosterNumber() || this->now < this->next_roster_hello) {
+    return;
+  }
+  this->told_roster = this->directory.RosterNumber();
+  this->next_roster_hello = this->now + kRosterHelloInterval;
+  this->peers.HelloSoon(this->now);
+  this->SendHellos();
+}
+
+void EntryCore::ReadHello(const Hello& hello) {
+  this->peers.Read(hello, this->now);
+  for (const auto& [key, rate] : hello.demand) {
+    ServiceState* service = this->FindService(key.first);
+    // Unknown teams are left out: the table must not grow with what peers make up.
+    if (service != nullptr && service->configuration->FindTeam(key.second) != nullptr) {
+      service->quotas.SetPeerDemand(hello.entry.incarnation, key.second, rate);
+    }
+  }
+}
+
+void EntryCore::On(const HelloReceived& event) {
+  const Hello& hello = event.hello;
+  const Peer* peer = this->peers.Hear(hello.entry, this->now);
+  bool with_roster = true;
+  if (peer != nullptr) {
+    this->ReadHello(hello);
+    with_roster = this->peers.NeedsRoster(hello.entry.address, this->directory.RosterNumber(),
+                                          this->now);
+  }
+  this->Do(ReplyHello{event.request, this->MakeHello(with_roster)});
+}
+
+void EntryCore::On(const HelloReplied& event) {
+  const auto* hello = std::get_if<Hello>(&event.reply);
+  if (hello == nullptr) {
+    this->peers.HelloDone(event.address, nullptr, this->now);
+    return;
+  }
+  if (this->peers.HearReply(hello->entry, this->now) != nullptr) {
+    this->ReadHello(*hello);
+  }
+  this->peers.HelloDone(event.address, &hello->entry.incarnation, this->now);
+}
+
+bool EntryCore::IsPeerAlive(const Incarnation& entry) const {
+  const Peer* peer = this->peers.Find(entry);
+  if (peer == nullptr || peer->gone) {
+    return false;
+  }
+  return this->now < this->grace_until ||
+         this->peers.IsAlive(entry, this->Health().agent_dead, this->now);
+}
+
+// ---- Submissions with another entry's ticket ----
+
+EntryCore::AdoptedLedger* EntryCore::FindAdopted(const Ticket& ticket) {
+  const auto found = this->adopted.find({ticket.owner, ticket.service});
+  return found == this->adopted.end() ? nullptr : &found->second;
+}
+
+bool EntryCore::AnswerForeign(const Waiter& waiter, const Ticket& ticket,
+                              std::uint64_t body_hash) {
+  if (const auto* kept = this->salvaged.Find(ticket)) {
+    if (kept->body_hash != body_hash) {
+      this->Refuse(waiter,
+                   {ErrorKind::kConflict,
+                    "the ticket was used for a job with another body; use a fresh one", false},
+                   ticket);
+    } else {
+      this->Deliver(waiter, kept->answer);
+    }
+    return true;
+  }
+  const AdoptedLedger* handed_over = this->FindAdopted(ticket);
+  if (handed_over == nullptr) {
+    const auto successor = this->peers.FindSuccessor(ticket.owner);
+    if (!successor || successor->incarnation != this->self.incarnation) {
+      return false;
+    }
+    this->Refuse(waiter,
+                 {ErrorKind::kAnswerExpired,
+                  "the entry that issued the ticket left so long ago that the job's answer is no "
+                  "longer kept; check what the job did before submitting the work again",
+                  false},
+                 ticket);
+    return true;
+  }
+  switch (handed_over->ledger.Look(ticket, this->now)) {
+    case TicketState::kNeverIssued:
+      this->Refuse(waiter,
+                   {ErrorKind::kUnknownTicket, "the ticket was never issued; use it as granted",
+                    false},
+                   ticket);
+      break;
+    case TicketState::kUsed:
+    case TicketState::kForgotten:
+      this->AnswerFromLedger(handed_over->ledger, waiter, ticket, &body_hash);
+      break;
+    default:
+      this->Refuse(waiter,
+                   {ErrorKind::kTicketExpired,
+                    "the entry that issued the ticket has left and nothing of the job ran; submit "
+                    "again with a fresh ticket",
+                    true},
+                   ticket);
+  }
+  return true;
+}
+
+void EntryCore::SubmitForeign(ServiceState& service, const Waiter& waiter,
+                              const Submission& submission) {
+  if (this->AnswerForeign(waiter, *submission.ticket, submission.body_hash)) {
+    return;
+  }
+  if (waiter.kind != Waiter::Kind::kCaller) {
+    return;
+  }
+  const Time deadline = this->now + JobDeadline(service, submission);
+  if (this->salvages.contains(*submission.ticket)) {
+    this->StartSalvage(waiter, submission, deadline);
+    return;
+  }
+  Forward* forward = this->forwards.Add(waiter.request, submission, deadline, this->now);
+  if (forward == nullptr) {
+    this->Refuse(waiter,
+                 {ErrorKind::kOverloaded,
+                  "too many requests wait for other entries; submit again later with the same "
+                  "ticket",
+                  false},
+                 submission.ticket);
+    return;
+  }
+  ++this->counters.forwarded_submissions;
+  this->DriveForward(*forward);
+}
+
+void EntryCore::SweepForwards() {
+  for (const RequestId request : this->forwards.Open(this->now)) {
+    this->DriveForward(*this->forwards.Find(request));
+  }
+}
+
+void EntryCore::DriveForward(Forward& forward) {
+  const Ticket ticket = *forward.submission.ticket;
+  const Waiter waiter{Waiter::Kind::kCaller, forward.request, {}};
+  if (this->AnswerForeign(waiter, ticket, forward.submission.body_hash)) {
+    this->forwards.Erase(waiter.request);
+    return;
+  }
+  if (this->now >= forward.deadline + kOwnerSlack) {
+    this->forwards.Erase(waiter.request);
+    Answer answer;
+    answer.status = AnswerStatus::kFailed;
+    answer.ticket = ticket;
+    answer.reason = "outcome_unknown";
+    answer.message =
+        "the entry that holds the job gave no answer in time; submit again with the same ticket to "
+        "get it";
+    this->Count(answer);
+    this->Deliver(waiter, std::move(answer));
+    return;
+  }
+  std::optional<EntryInfo> target = this->peers.FindSuccessor(ticket.owner);
+  const Peer* owner = this->peers.Find(ticket.owner);
+  if (!target && owner != nullptr && !owner->gone) {
+    target = owner->info;
+  }
+  const bool alive = target && this->IsPeerAlive(target->incarnation);
+  const bool asked = target && forward.failed && forward.target == target->incarnation;
+  // An entry that was never heard may still say hello to a process that has just started.
+  const bool may_appear =
+      owner == nullptr && !target &&
+      (this->now < this->grace_until || this->now - this->started_at < this->Health().agent_dead);
+  const bool gone = !alive && (target ? asked : !may_appear);
+  if (gone && this->now >= this->grace_until) {
+    const auto taken = this->forwards.Take(waiter.request);
+    this->StartSalvage(waiter, taken->submission, taken->deadline);
+    return;
+  }
+  const bool waits = forward.taken && alive && forward.target == target->incarnation;
+  if (!target || waits) {
+    return;
+  }
+  this->forwards.Sent(forward, target->incarnation, this->now);
+  this->Do(SendForward{target->address,
+                       target->incarnation,
+                       {this->self, forward.request, forward.submission}});
+}
+
+void EntryCore::On(const ForwardReplied& event) {
+  const auto* reply = std::get_if<ForwardReply>(&event.reply);
+  if (reply != nullptr && reply->entry != event.to) {
+    this->peers.MarkGone(event.to);
+  }
+  Forward* forward = this->forwards.Find(event.request);
+  if (reply != nullptr && reply->entry == event.to) {
+    if (const Peer* peer = this->peers.Find(event.to)) {
+      this->peers.HearReply(EntryInfo(peer->info), this->now);
+    }
+  }
+  if (forward == nullptr || forward->target != event.to) {
+    return;
+  }
+  if (reply == nullptr || reply->entry != event.to || !reply->taken) {
+    this->forwards.Retry(*forward, this->now);
+    return;
+  }
+  forward->in_flight = false;
+  forward->failed = false;
+  forward->taken = true;
+  forward->backoff = Milliseconds{0};
+}
+
+// ---- Submissions that another entry forwarded ----
+
+void EntryCore::On(const ForwardReceived& event) {
+  const ForwardRequest& message = event.message;
+  this->peers.Hear(message.from, this->now);
+  const auto& ticket = message.submission.ticket;
+  const bool served = ticket && this->FindService(ticket->service) != nullptr &&
+                      (ticket->owner == this->self.incarnation ||
+                       this->FindAdopted(*ticket) != nullptr);
+  this->Do(ReplyForward{event.request, {this->self.incarnation, served}});
+  if (!served || this->outbox.Contains(message.from.incarnation, message.request_id)) {
+    return;
+  }
+  this->Submit({Waiter::Kind::kPeer, message.request_id, message.from}, message.submission);
+}
+
+void EntryCore::SendAnswers() {
+  for (SendAnswer& answer : this->outbox.TakeDue(this->now)) {
+    this->Do(std::move(answer));
+  }
+}
+
+void EntryCore::On(const AnswerReceived& event) {
+  const AnswerRequest& message = event.message;
+  const bool own = message.to == this->self.incarnation;
+  const auto forward = own ? this->forwards.Take(message.request_id) : std::nullopt;
+  this->Do(ReplyAcknowledgement{event.request, {this->self.incarnation, forward.has_value()}});
+  if (!forward) {
+    return;
+  }
+  this->Deliver({Waiter::Kind::kCaller, message.request_id, {}}, message.answer);
+}
+
+void EntryCore::On(const AnswerReplied& event) {
+  // Every reply settles the matter: the request was answered, is not known there any more, or its
+  // entry is gone.
+  if (IsOk(event.reply)) {
+    this->outbox.Done(event.to, event.forwarded_request);
+  } else {
+    this->outbox.Retry(event.to, event.forwarded_request, this->now);
+  }
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/entry_core_submissions.cc
@@ -0,0 +1,445 @@
+// Jobs, queries and cancellations as they arrive.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/entry_core.h"
+
+namespace quetzalvale {
+namespace {
+
+/// Tickets granted by one request.
+constexpr std::uint32_t kMaxTicketsPerRequest = 1024;
+
+/// Each waits for a write of the platform, which sustains several hundred a second.
+constexpr std::size_t kMaxKeyClaims = 2048;
+
+/// Requests that wait for one job; more are copies that a caller has given up on.
+constexpr std::size_t kMaxWaiters = 64;
+
+/// Bounds on jobs in progress, beyond the configured limit of queued tasks.
+constexpr std::size_t kMaxJobs = 50000;
+constexpr std::size_t kMaxPayloadBytes = std::size_t{256} << 20;
+
+/// Keeps sums of times in range, whatever a caller asks for.
+constexpr Milliseconds kLongestDeadline = std::chrono::hours(24);
+
+constexpr const char* kUseFreshTicket = "submit again with a fresh ticket";
+
+}  // namespace
+
+void EntryCore::On(const JobSubmitted& event) {
+  this->Submit({Waiter::Kind::kCaller, event.request, {}}, event.submission);
+}
+
+void EntryCore::Submit(const Waiter& waiter, const Submission& submission) {
+  ServiceState* service = this->FindService(submission.service);
+  const bool has_identity = submission.ticket || !submission.key.empty();
+  if (service == nullptr) {
+    this->Refuse(waiter,
+                 {ErrorKind::kUnknownService,
+                  "service \"" + submission.service + "\" is not served here; check its name",
+                  !has_identity},
+                 submission.ticket);
+    return;
+  }
+  if (!service->IsConfigured()) {
+    this->Refuse(waiter,
+                 {ErrorKind::kNotReady,
+                  "this entry has no configuration of the service yet; submit again later",
+                  !has_identity},
+                 submission.ticket);
+    return;
+  }
+  if (!has_identity) {
+    this->Refuse(waiter,
+                 {ErrorKind::kNoIdentity,
+                  "the job has neither a ticket nor a key; submit it with one of them", true},
+                 std::nullopt);
+    return;
+  }
+  if (!submission.ticket) {
+    this->ClaimKeyFor(*service, waiter, submission);
+  } else if (submission.ticket->service != submission.service) {
+    this->Refuse(waiter,
+                 {ErrorKind::kUnknownTicket,
+                  "the ticket belongs to another service; use a ticket of this service", false},
+                 submission.ticket);
+  } else if (submission.ticket->owner == this->self.incarnation) {
+    this->SubmitOwn(*service, waiter, submission);
+  } else {
+    this->SubmitForeign(*service, waiter, submission);
+  }
+}
+
+void EntryCore::ClaimKeyFor(ServiceState& service, const Waiter& waiter,
+                            const Submission& submission) {
+  // What an earlier submission with the key did is not known here, so no refusal before the claim
+  // says that the job did not run.
+  if (this->IsLeaving()) {
+    this->Refuse(waiter,
+                 {ErrorKind::kLeaving, "this entry is leaving; submit through another one", false},
+                 std::nullopt);
+    return;
+  }
+  const auto tickets = this->key_claims.size() < kMaxKeyClaims
+                           ? service.ledger.Issue(1, this->directory.RosterNumber(), this->now)
+                           : std::vector<Ticket>{};
+  if (tickets.empty()) {
+    this->Refuse(waiter,
+                 {ErrorKind::kOverloaded, "too many keys are being claimed; submit again later",
+                  false},
+                 std::nullopt);
+    return;
+  }
+  this->key_claims[waiter.request] = {submission, false};
+  this->Do(ClaimKey{waiter.request, submission.service, submission.key, submission.body_hash,
+                    tickets.front()});
+}
+
+void EntryCore::On(const KeyClaimed& event) {
+  auto node = this->key_claims.extract(event.request);
+  if (node.empty()) {
+    return;
+  }
+  KeyClaim& claim = node.mapped();
+  const Waiter waiter{claim.caller_gone ? Waiter::Kind::kNobody : Waiter::Kind::kCaller,
+                      event.request,
+                      {}};
+  if (const auto* error = std::get_if<Error>(&event.ticket)) {
+    this->Refuse(waiter,
+                 {ErrorKind::kPlatformUnavailable,
+                  "the key could not be claimed (" + error->message +
+                      "); submit again later with the same key, or submit new work with a ticket",
+                  false},
+                 std::nullopt);
+    return;
+  }
+  claim.submission.ticket = std::get<Ticket>(event.ticket);
+  this->Submit(waiter, claim.submission);
+}
+
+bool EntryCore::Attach(Job& job, const Waiter& waiter, std::uint64_t body_hash) {
+  if (job.body_hash != body_hash) {
+    this->Refuse(waiter,
+                 {ErrorKind::kConflict,
+                  "the ticket or key was used for a job with another body; use a fresh one", false},
+                 job.ticket);
+    return false;
+  }
+  // A repeated forward must not be answered twice.
+  const bool known = std::ranges::any_of(job.waiters, [&](const Waiter& other) {
+    return other.kind == waiter.kind && other.request == waiter.request &&
+           other.peer.incarnation == waiter.peer.incarnation;
+  });
+  if (known || waiter.kind == Waiter::Kind::kNobody) {
+    return true;
+  }
+  if (job.waiters.size() >= kMaxWaiters) {
+    this->Refuse(waiter,
+                 {ErrorKind::kOverloaded,
+                  "too many requests wait for this job; ask for its answer later", false},
+                 job.ticket);
+    return false;
+  }
+  job.waiters.push_back(waiter);
+  if (waiter.kind == Waiter::Kind::kCaller) {
+    this->callers[waiter.request] = job.ticket;
+  }
+  return true;
+}
+
+void EntryCore::SubmitOwn(ServiceState& service, const Waiter& waiter,
+                          const Submission& submission) {
+  const Ticket& ticket = *submission.ticket;
+  Job* job = this->jobs.Find(ticket);
+  if (job != nullptr && !job->answered) {
+    this->Attach(*job, waiter, submission.body_hash);
+    return;
+  }
+  switch (service.ledger.Look(ticket, this->now)) {
+    case TicketState::kNeverIssued:
+      this->Refuse(waiter,
+                   {ErrorKind::kUnknownTicket,
+                    "this entry never issued the ticket; use a ticket as it was granted", false},
+                   ticket);
+      return;
+    case TicketState::kUnused:
+      this->SubmitUnused(service, waiter, submission);
+      return;
+    case TicketState::kExpired:
+      service.ledger.Refuse(ticket);
+      this->Refuse(waiter,
+                   {ErrorKind::kTicketExpired,
+                    std::string("the ticket has expired; ") + kUseFreshTicket, true},
+                   ticket);
+      return;
+    case TicketState::kRefused:
+      this->Refuse(
+          waiter,
+          {ErrorKind::kTicketExpired,
+           std::string("the ticket's job was refused before and nothing of it ran; ") +
+               kUseFreshTicket + " or another key",
+           true},
+          ticket);
+      return;
+    case TicketState::kUsed:
+    case TicketState::kForgotten:
+      this->AnswerFromLedger(service.ledger, waiter, ticket, &submission.body_hash);
+      return;
+  }
+}
+
+void EntryCore::AnswerFromLedger(const TicketLedger& ledger, const Waiter& waiter,
+                                 const Ticket& ticket, const std::uint64_t* body_hash) {
+  const auto* kept = ledger.FindAnswer(ticket.sequence);
+  if (kept == nullptr) {
+    this->Refuse(waiter,
+                 {ErrorKind::kAnswerExpired,
+                  "the ticket was used, or expired, so long ago that its answer is no longer kept; "
+                  "check what the job did before submitting the work again",
+                  false},
+                 ticket);
+    return;
+  }
+  if (body_hash != nullptr && kept->body_hash != *body_hash) {
+    this->Refuse(waiter,
+                 {ErrorKind::kConflict,
+                  "the ticket or key was used for a job with another body; use a fresh one", false},
+                 ticket);
+    return;
+  }
+  this->Deliver(waiter, kept->answer);
+}
+
+void EntryCore::SubmitUnused(ServiceState& service, const Waiter& waiter,
+                             const Submission& submission) {
+  if (auto refusal = this->CheckSubmission(service, submission)) {
+    // A copy of the submission may still be on its way through another entry. The caller is told
+    // that nothing runs, so the ticket must not be taken later.
+    service.ledger.Refuse(*submission.ticket);
+    refusal->not_run = true;
+    this->Refuse(waiter, *refusal, submission.ticket);
+    return;
+  }
+  this->TakeJob(service, waiter, submission);
+}
+
+std::optional<EntryCore::Refusal> EntryCore::CheckSubmission(ServiceState& service,
+                                                             const Submission& submission) {
+  if (this->IsLeaving()) {
+    return Refusal{ErrorKind::kLeaving, "this entry is leaving; submit through another one"};
+  }
+  const LoadView load = this->Load(service, submission);
+  const bool any_agent = std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
+    const Agent& agent = element.second;
+    return agent.member && !agent.leaving && agent.announce.service == service.name &&
+           agent.first_roster > submission.ticket->roster;
+  });
+  if (!load.has_agents && any_agent) {
+    return Refusal{ErrorKind::kTicketExpired,
+                   std::string("no agent from when the ticket was issued is left; ") +
+                       kUseFreshTicket};
+  }
+  if (auto error = CheckAdmission(*service.configuration, service.model, load, submission)) {
+    return Refusal{error->kind, error->message};
+  }
+  std::size_t bytes = this->jobs.PayloadBytes();
+  for (const TaskSpec& task : submission.tasks) {
+    bytes += task.payload.size();
+  }
+  if (this->jobs.Size() >= kMaxJobs || bytes > kMaxPayloadBytes) {
+    return Refusal{ErrorKind::kOverloaded, "too many jobs are in progress; submit again later"};
+  }
+  // Names outside the configuration are not counted: callers could make up any number of them.
+  const auto count = static_cast<std::uint32_t>(submission.tasks.size());
+  if (service.configuration->FindTeam(submission.team) != nullptr &&
+      !service.quotas.TryTake(submission.team, count, this->now)) {
+    return Refusal{ErrorKind::kQuota,
+                   "team \"" + submission.team + "\" is over its quota; submit again later"};
+  }
+  return std::nullopt;
+}
+
+LoadView EntryCore::Load(const ServiceState& service, const Submission& submission) const {
+  LoadView load;
+  const auto* kind = service.configuration->FindKind(submission.kind);
+  const int urgency = kind == nullptr ? 0 : kind->urgency;
+  load.queued_tasks = static_cast<std::uint32_t>(service.queue.Size());
+  load.queued_work = service.queue.WorkUpTo(urgency);
+  for (const auto& [incarnation, agent] : this->directory.Agents()) {
+    const bool usable = agent.member && !agent.leaving && agent.announce.service == service.name &&
+                        agent.first_roster <= submission.ticket->roster;
+    if (!usable || (this->IsLost(agent) && this->now >= this->grace_until)) {
+      continue;
+    }
+    load.has_agents = true;
+    for (const auto& [task, expected] : agent.outstanding) {
+      load.outstanding_work += expected;
+    }
+    if (!service.health.IsAvailable(agent.announce.name)) {
+      continue;
+    }
+    const int busy = agent.announce.worker.slots - agent.announce.load.free_slots;
+    const int own = static_cast<int>(agent.outstanding.size());
+    const int others = std::clamp(busy - own, 0, agent.announce.worker.slots);
+    load.effective_slots += (agent.announce.worker.slots - others) *
+                            service.model.Speed(agent.announce.name);
+  }
+  return load;
+}
+
+Milliseconds EntryCore::JobDeadline(const ServiceState& service, const Submission& submission) {
+  if (submission.deadline.count() > 0) {
+    return std::min(submission.deadline, kLongestDeadline);
+  }
+  const auto* kind = service.configuration->FindKind(submission.kind);
+  return kind == nullptr ? KindConfiguration().deadline : std::min(kind->deadline, kLongestDeadline);
+}
+
+void EntryCore::TakeJob(ServiceState& service, const Waiter& waiter,
+                        const Submission& submission) {
+  service.ledger.Use(*submission.ticket, this->now);
+  Job fresh;
+  fresh.ticket = *submission.ticket;
+  fresh.body_hash = submission.body_hash;
+  fresh.kind = submission.kind;
+  fresh.urgency = service.configuration->FindKind(submission.kind)->urgency;
+  fresh.deadline = this->now + JobDeadline(service, submission);
+  for (const TaskSpec& spec : submission.tasks) {
+    Task task;
+    task.spec = spec;
+    task.expected = service.model.Expected(submission.kind, spec.declared);
+    fresh.tasks.push_back(std::move(task));
+  }
+  Job& job = this->jobs.Add(std::move(fresh));
+  for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+    service.queue.Add({job.id, index}, job.urgency, job.deadline, job.tasks[index].expected);
+  }
+  this->Attach(job, waiter, submission.body_hash);
+}
+
+void EntryCore::On(const TicketsRequested& event) {
+  ServiceState* service = this->FindService(event.service);
+  if (service == nullptr) {
+    this->Do(GrantTickets{
+        event.request,
+        Error{ErrorKind::kUnknownService,
+              "service \"" + event.service + "\" is not served here; check its name"}});
+    return;
+  }
+  if (!service->IsConfigured()) {
+    this->Do(GrantTickets{
+        event.request,
+        Error{ErrorKind::kNotReady,
+              "this entry has no configuration of the service yet; ask again later"}});
+    return;
+  }
+  if (this->IsLeaving()) {
+    this->Do(GrantTickets{
+        event.request, Error{ErrorKind::kLeaving, "this entry is leaving; ask another one"}});
+    return;
+  }
+  this->Do(GrantTickets{event.request,
+                        service->ledger.Issue(std::min(event.count, kMaxTicketsPerRequest),
+                                              this->directory.RosterNumber(), this->now)});
+}
+
+Result<std::optional<Answer>> EntryCore::LookUp(const Ticket& ticket) {
+  ServiceState* service = this->FindService(ticket.service);
+  if (service == nullptr) {
+    return Error{ErrorKind::kUnknownService, "the ticket's service is not served here"};
+  }
+  const Job* job = this->jobs.Find(ticket);
+  if (job != nullptr && !job->answered) {
+    return std::optional<Answer>();
+  }
+  if (const auto* kept = this->salvaged.Find(ticket)) {
+    return std::optional<Answer>(kept->answer);
+  }
+  const AdoptedLedger* handed_over = this->FindAdopted(ticket);
+  const bool own = ticket.owner == this->self.incarnation;
+  if (!own && handed_over == nullptr) {
+    const bool waits = this->salvages.contains(ticket);
+    if (waits || this->forwards.Contains(ticket)) {
+      return std::optional<Answer>();
+    }
+    return Error{ErrorKind::kNotFound,
+                 "another entry holds the job; submit it again with the same ticket to get its "
+                 "answer"};
+  }
+  const TicketLedger& ledger = own ? service->ledger : handed_over->ledger;
+  const TicketState state = ledger.Look(ticket, this->now);
+  if (state == TicketState::kNeverIssued) {
+    return Error{ErrorKind::kUnknownTicket, "the ticket was never issued; use it as granted"};
+  }
+  if (state == TicketState::kUnused) {
+    return Error{ErrorKind::kNotFound, "no job was submitted with the ticket"};
+  }
+  if (state == TicketState::kExpired || state == TicketState::kRefused) {
+    return Error{ErrorKind::kTicketExpired,
+                 "the ticket has expired or its job was refused; nothing of it ran"};
+  }
+  if (const auto* kept = ledger.FindAnswer(ticket.sequence)) {
+    return std::optional<Answer>(kept->answer);
+  }
+  return Error{ErrorKind::kAnswerExpired, "the job's answer is no longer kept"};
+}
+
+void EntryCore::On(const JobQueried& event) {
+  this->Do(AnswerQuery{event.request, this->LookUp(event.ticket)});
+}
+
+void EntryCore::On(const JobCancelled& event) {
+  const Ticket& ticket = event.ticket;
+  Job* job = this->jobs.Find(ticket);
+  if (job != nullptr && !job->answered) {
+    const std::uint64_t id = job->id;
+    if (job->waiters.size() < kMaxWaiters) {
+      job->waiters.push_back({Waiter::Kind::kQuery, event.request, {}});
+    } else {
+      this->Do(AnswerQuery{event.request, std::optional<Answer>()});
+    }
+    this->FailJob(*this->jobs.Find(id), "cancelled", "the job was cancelled", true);
+    return;
+  }
+  ServiceState* service = this->FindService(ticket.service);
+  const bool own = service != nullptr && ticket.owner == this->self.incarnation;
+  if (own && service->ledger.Look(ticket, this->now) == TicketState::kUnused) {
+    // The submission may still be on its way.
+    service->ledger.Refuse(ticket);
+  }
+  const Peer* owner = this->peers.Find(ticket.owner);
+  if (!own && owner != nullptr && !owner->gone && this->FindAdopted(ticket) == nullptr &&
+      this->salvaged.Find(ticket) == nullptr) {
+    this->Do(SendCancel{owner->info.address, {ticket}});
+    this->Do(AnswerQuery{event.request, std::optional<Answer>()});
+    return;
+  }
+  this->Do(AnswerQuery{event.request, this->LookUp(ticket)});
+}
+
+void EntryCore::On(const CallerGone& event) {
+  if (const auto claim = this->key_claims.find(event.request); claim != this->key_claims.end()) {
+    claim->second.caller_gone = true;
+    return;
+  }
+  this->forwards.Erase(event.request);
+  const auto found = this->callers.find(event.request);
+  if (found == this->callers.end()) {
+    return;
+  }
+  const Ticket ticket = found->second;
+  this->callers.erase(found);
+  const auto is_gone = [&](const Waiter& waiter) {
+    return waiter.kind == Waiter::Kind::kCaller && waiter.request == event.request;
+  };
+  if (Job* job = this->jobs.Find(ticket)) {
+    std::erase_if(job->waiters, is_gone);
+  }
+  if (const auto salvage = this->salvages.find(ticket); salvage != this->salvages.end()) {
+    std::erase_if(salvage->second.waiters, is_gone);
+  }
+}
+
+}  // namespace quetzalvale
--- a/src/core/entry_status.h
+++ b/src/core/entry_status.h
@@ -28,6 +28,8 @@
   std::string service;
   /// Zero while no configuration is known.
   std::uint64_t configuration_version = 0;
+  /// Highest version that a live peer reports.
+  std::uint64_t peer_configuration_version = 0;
   std::vector<AgentStatus> agents;
   /// Tasks that wait at this entry.
   std::size_t queued_tasks = 0;
--- /dev/null
+++ b/src/core/job_table.h
@@ -0,0 +1,150 @@
+/// Jobs that an entry has taken.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/entry_events.h"
+#include "core/messages.h"
+#include "core/types.h"
+
+namespace quetzalvale {
+
+/// Names a task inside one entry.
+struct TaskRef {
+  std::uint64_t job = 0;
+  std::uint32_t index = 0;
+
+  auto operator<=>(const TaskRef&) const = default;
+};
+
+enum class TaskState {
+  /// Waits at the entry; no agent has it.
+  kWaiting,
+  /// Assigned to an agent; the start is not sent yet.
+  kBatched,
+  /// A start with the task was sent and is not settled.
+  kSent,
+  kDone,
+  kFailed,
+  /// Proven not run, and not to be placed again.
+  kNotRun,
+  /// Its agent was lost.
+  kUnknown
+};
+
+struct Task {
+  TaskSpec spec;
+  TaskState state = TaskState::kWaiting;
+  /// Set while kBatched or kSent, and kept when the task has ended.
+  Incarnation agent;
+  std::uint64_t channel_sequence = 0;
+  /// The agent has reported that the task runs.
+  bool runs = false;
+  /// Placements that were proven not run.
+  std::uint32_t refusals = 0;
+  Microseconds expected{0};
+  std::string result;
+};
+
+/// Somebody who gets a job's answer.
+struct Waiter {
+  enum class Kind {
+    /// The caller has gone; the job goes on.
+    kNobody,
+    /// Answered by AnswerCaller.
+    kCaller,
+    /// Answered by SendAnswer.
+    kPeer,
+    /// Answered by AnswerQuery.
+    kQuery
+  };
+  Kind kind = Kind::kNobody;
+  RequestId request = 0;
+  /// Of kPeer.
+  EntryInfo peer;
+};
+
+struct Job {
+  std::uint64_t id = 0;
+  Ticket ticket;
+  std::uint64_t body_hash = 0;
+  std::string kind;
+  int urgency = 0;
+  Time deadline{};
+  std::vector<Task> tasks;
+  std::vector<Waiter> waiters;
+  /// Tasks that have not ended, and those that ended well.
+  std::size_t open = 0;
+  std::size_t done = 0;
+  /// Agents that sealed the ticket.
+  std::vector<Incarnation> excluded;
+
+  struct Failure {
+    std::string reason;
+    std::string message;
+    /// How long to wait for the proof that nothing ran.
+    Time until{};
+  };
+  std::optional<Failure> failure;
+  /// The answer was given; the job stays until its last task has ended.
+  bool answered = false;
+  std::size_t payload_bytes = 0;
+};
+
+/// Owns the jobs of one entry and finds them by id, ticket and time. Not thread-safe.
+class JobTable {
+ public:
+  /// Adds the job and assigns its id. References stay valid until Remove.
+  Job& Add(Job job);
+
+  Job* Find(std::uint64_t id);
+  const Job* Find(std::uint64_t id) const;
+  Job* Find(const Ticket& ticket);
+
+  /// Ids of jobs that need attention: the deadline has passed, or the wait for proof is over.
+  std::vector<std::uint64_t> Due(Time now) const;
+
+  /// Changes the time at which the job is due.
+  void SetDue(Job& job, Time due);
+
+  /// Marks the job as answered: it is no longer due, and its payloads are dropped.
+  void MarkAnswered(Job& job);
+
+  void Remove(std::uint64_t id);
+
+  /// Jobs that are not answered.
+  std::size_t Unanswered() const { return this->due.size(); }
+  std::size_t Unanswered(const std::string& service) const;
+  std::size_t Size() const { return this->jobs.size(); }
+  std::size_t PayloadBytes() const { return this->payload_bytes; }
+
+  /// Ids of all jobs of the service that are not answered.
+  std::vector<std::uint64_t> Ids(const std::string& service) const;
+
+ private:
+  std::uint64_t next_id = 1;
+  std::unordered_map<std::uint64_t, Job> jobs;
+  std::unordered_map<Ticket, std::uint64_t> by_ticket;
+  /// One element per job that is not answered.
+  std::set<std::pair<Time, std::uint64_t>> due;
+  std::unordered_map<std::uint64_t, Time> due_of;
+  std::map<std::string, std::size_t> unanswered_by_service;
+  std::size_t payload_bytes = 0;
+};
+
+}  // namespace quetzalvale
+
+template <>
+struct std::hash<quetzalvale::TaskRef> {
+  std::size_t operator()(const quetzalvale::TaskRef& value) const noexcept;
+};
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -185,6 +185,8 @@
   Incarnation agent;
   std::string address;
   std::uint64_t first_roster = 0;
+  /// Tickets with this roster number or a higher one never use the agent; zero while it is in use.
+  std::uint64_t end_roster = 0;
 
   auto operator<=>(const RosterItem&) const = default;
 };
@@ -202,9 +204,13 @@
   EntryInfo entry;
   bool leaving = false;
   std::vector<EntryInfo> entries;
-  /// The sender's complete roster and its current number.
+  /// The sender's complete roster and its current number. Number zero means that the roster is left
+  /// out because the receiver has confirmed it.
   std::vector<RosterItem> roster;
   std::uint64_t roster_number = 0;
+  /// For tickets with a lower roster number the list may lack agents that left long ago, so it
+  /// proves nothing about them.
+  std::uint64_t complete_from = 0;
   /// Task starts per second asked for at the sender, by (service, team).
   std::map<std::pair<std::string, std::string>, double> demand;
   std::map<std::string, std::uint64_t> configuration_versions;
--- /dev/null
+++ b/src/core/service_state.h
@@ -0,0 +1,45 @@
+/// What an entry holds for one service.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "core/health_tracker.h"
+#include "core/placement.h"
+#include "core/quota_table.h"
+#include "core/retry_budget.h"
+#include "core/run_time_model.h"
+#include "core/service_configuration.h"
+#include "core/start_queue.h"
+#include "core/ticket_ledger.h"
+
+namespace quetzalvale {
+
+/// Not thread-safe.
+struct ServiceState {
+  ServiceState(std::string name, const Incarnation& owner);
+
+  /// Takes over a newer configuration. Returns false when it is not newer.
+  bool Apply(std::shared_ptr<const ServiceConfiguration> newer);
+
+  std::string name;
+  /// Holds defaults with version zero until a configuration is known.
+  std::shared_ptr<const ServiceConfiguration> configuration;
+  TicketLedger ledger;
+  StartQueue queue;
+  RunTimeModel model;
+  QuotaTable quotas;
+  HealthTracker health;
+  RetryBudget retry_budget;
+  PlacementHook placement;
+  /// When the retry budget is empty, a single placement is repeated at this time.
+  Time next_trickle{};
+  /// Agents of the service were added, removed or changed.
+  bool members_changed = false;
+  /// Some job may have lost its last possible agent.
+  bool jobs_at_risk = false;
+
+  bool IsConfigured() const { return this->configuration->version != 0; }
+};
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/core/ticket_ledger.cc
@@ -0,0 +1,203 @@
+#include "core/ticket_ledger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace quetzalvale {
+namespace {
+
+/// About a million tickets in blocks of 64: ten times what 200 jobs/s use in the default validity.
+constexpr std::size_t kMaxBlocks = 16384;
+constexpr std::size_t kMaxClosedUsed = std::size_t{1} << 20;
+
+/// A growing block is closed after this part of the validity, so that its first tickets do not
+/// stay valid much longer than its last.
+constexpr int kBlockAgePart = 4;
+
+/// Limits of one part of a snapshot, so that it stays a message of ordinary size.
+constexpr std::size_t kAnswersPerPart = 256;
+constexpr std::size_t kResultBytesPerPart = std::size_t{1} << 20;
+
+std::size_t ResultBytes(const Answer& answer) {
+  std::size_t bytes = 0;
+  for (const auto& result : answer.results) {
+    bytes += result.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
+TicketLedger::TicketLedger(std::string service, Incarnation owner)
+    : service(std::move(service)), owner(owner) {}
+
+void TicketLedger::SetLimits(const ServiceConfiguration::Tickets& new_limits) {
+  this->limits = new_limits;
+  this->answers.SetLimits(new_limits.answers_kept, new_limits.answer_kept);
+}
+
+std::vector<Ticket> TicketLedger::Issue(std::uint32_t count, std::uint64_t roster, Time now) {
+  std::vector<Ticket> issued;
+  if (this->closed) {
+    return issued;
+  }
+  for (std::uint32_t i = 0; i < count; ++i) {
+    const bool fits =
+        !this->blocks.empty() && this->blocks.back().roster == roster &&
+        this->blocks.back().used.size() < std::max<std::uint32_t>(1, this->limits.block) &&
+        now - this->blocks.back().opened < this->limits.valid / kBlockAgePart;
+    if (!fits) {
+      this->OpenBlock(roster, now);
+    }
+    Block& block = this->blocks.back();
+    block.used.push_back(false);
+    block.refused.push_back(false);
+    block.last_issued = now;
+    issued.push_back({this->service, this->owner, this->next_sequence++, roster});
+  }
+  return issued;
+}
+
+void TicketLedger::OpenBlock(std::uint64_t roster, Time now) {
+  if (this->blocks.size() >= kMaxBlocks) {
+    this->blocks.pop_front();
+    this->floor = this->blocks.front().first;
+  }
+  Block block;
+  block.first = this->next_sequence;
+  block.roster = roster;
+  block.opened = now;
+  this->blocks.push_back(std::move(block));
+}
+
+const TicketLedger::Block* TicketLedger::FindBlock(std::uint64_t sequence) const {
+  auto after =
+      std::upper_bound(this->blocks.begin(), this->blocks.end(), sequence,
+                       [](std::uint64_t value, const Block& block) { return value < block.first; });
+  if (after == this->blocks.begin()) {
+    return nullptr;
+  }
+  const Block& block = *std::prev(after);
+  return sequence - block.first < block.used.size() ? &block : nullptr;
+}
+
+TicketLedger::Block* TicketLedger::FindBlock(std::uint64_t sequence) {
+  return const_cast<Block*>(std::as_const(*this).FindBlock(sequence));
+}
+
+TicketState TicketLedger::LookClosed(std::uint64_t sequence) const {
+  if (sequence < this->floor) {
+    return TicketState::kForgotten;
+  }
+  return this->closed_used.contains(sequence) ? TicketState::kUsed : TicketState::kUnused;
+}
+
+TicketState TicketLedger::Look(const Ticket& ticket, Time now) const {
+  const std::uint64_t sequence = ticket.sequence;
+  if (sequence == 0 || sequence >= this->next_sequence) {
+    return TicketState::kNeverIssued;
+  }
+  if (this->closed) {
+    return this->LookClosed(sequence);
+  }
+  const Block* block = this->FindBlock(sequence);
+  if (block == nullptr) {
+    return TicketState::kForgotten;
+  }
+  // Another roster number would make a second ticket of the same sequence.
+  if (block->roster != ticket.roster) {
+    return TicketState::kNeverIssued;
+  }
+  if (block->used[sequence - block->first]) {
+    return TicketState::kUsed;
+  }
+  if (block->refused[sequence - block->first]) {
+    return TicketState::kRefused;
+  }
+  return now - block->last_issued >= this->limits.valid ? TicketState::kExpired
+                                                        : TicketState::kUnused;
+}
+
+bool TicketLedger::Use(const Ticket& ticket, Time now) {
+  if (this->closed || this->Look(ticket, now) != TicketState::kUnused) {
+    return false;
+  }
+  Block& block = *this->FindBlock(ticket.sequence);
+  block.used[ticket.sequence - block.first] = true;
+  return true;
+}
+
+void TicketLedger::Refuse(const Ticket& ticket) {
+  Block* block = this->FindBlock(ticket.sequence);
+  if (!this->closed && block != nullptr && block->roster == ticket.roster) {
+    block->refused[ticket.sequence - block->first] = true;
+  }
+}
+
+void TicketLedger::KeepAnswer(std::uint64_t sequence, std::uint64_t body_hash, Answer answer,
+                              Time now) {
+  answer.fresh_tickets.clear();
+  this->answers.Keep(sequence, body_hash, std::move(answer), now);
+}
+
+const TicketLedger::Answers::Entry* TicketLedger::FindAnswer(std::uint64_t sequence) const {
+  return this->answers.Find(sequence);
+}
+
+void TicketLedger::Expire(Time now) {
+  this->answers.Expire(now);
+  // Expired blocks stay as long as answers do, so that a late submission with an unused ticket
+  // learns that it did not run.
+  const auto kept = this->limits.valid + this->limits.answer_kept;
+  while (!this->blocks.empty() && now - this->blocks.front().last_issued >= kept) {
+    this->floor = this->blocks.front().first + this->blocks.front().used.size();
+    this->blocks.pop_front();
+  }
+}
+
+std::vector<HandOver> TicketLedger::Export() const {
+  HandOver common;
+  common.owner = this->owner;
+  common.service = this->service;
+  common.next_sequence = this->next_sequence;
+  common.floor = this->floor;
+  common.used.assign(this->closed_used.begin(), this->closed_used.end());
+  for (const Block& block : this->blocks) {
+    for (std::size_t i = 0; i < block.used.size(); ++i) {
+      if (block.used[i]) {
+        common.used.push_back(block.first + i);
+      }
+    }
+  }
+  std::vector<HandOver> parts{common};
+  std::size_t bytes = 0;
+  for (const std::uint64_t sequence : this->answers.Keys()) {
+    const auto& entry = *this->answers.Find(sequence);
+    const std::size_t size = ResultBytes(entry.answer);
+    if (parts.back().answers.size() >= kAnswersPerPart || bytes + size > kResultBytesPerPart) {
+      parts.push_back(common);
+      bytes = 0;
+    }
+    bytes += size;
+    parts.back().answers.push_back({sequence, entry.body_hash, entry.answer});
+  }
+  return parts;
+}
+
+void TicketLedger::Import(const HandOver& part, Time now) {
+  this->closed = true;
+  this->next_sequence = std::max(this->next_sequence, part.next_sequence);
+  this->floor = std::max(this->floor, part.floor);
+  this->closed_used.insert(part.used.begin(), part.used.end());
+  this->closed_used.erase(this->closed_used.begin(), this->closed_used.lower_bound(this->floor));
+  while (this->closed_used.size() > kMaxClosedUsed) {
+    this->floor = *this->closed_used.begin() + 1;
+    this->closed_used.erase(this->closed_used.begin());
+  }
+  for (const auto& kept : part.answers) {
+    this->KeepAnswer(kept.sequence, kept.body_hash, kept.answer, now);
+  }
+}
+
+}  // namespace quetzalvale
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -156,6 +156,7 @@
   visit("agent", m.agent);
   visit("address", m.address);
   visit("first_roster", m.first_roster);
+  visit("end_roster", m.end_roster);
 }
 
 template <typename V>
@@ -171,6 +172,7 @@
   visit("entries", m.entries);
   visit("roster", m.roster);
   visit("roster_number", m.roster_number);
+  visit("complete_from", m.complete_from);
   visit("demand", m.demand);
   visit("configuration_versions", m.configuration_versions);
   visit("successions", m.successions);
