--- a/src/core/agent_directory.cc
+++ b/src/core/agent_directory.cc
@@ -129,8 +129,7 @@
 }
 
 void AgentDirectory::DropOldestRemoved() {
-  this->complete_from =
-      std::max(this->complete_from, this->removed.front().item.end_roster);
+  this->complete_from = std::max(this->complete_from, this->removed.front().item.end_roster);
   this->removed.pop_front();
 }
 
@@ -164,13 +163,14 @@
     }
   }
   std::ranges::sort(ranked, [](const Ranked& a, const Ranked& b) {
-    return std::pair(a.score, a.agent->announce.agent) > std::pair(b.score, b.agent->announce.agent);
+    return std::pair(a.score, a.agent->announce.agent) >
+           std::pair(b.score, b.agent->announce.agent);
   });
   const std::size_t wanted = std::min(ranked.size(), std::max<std::size_t>(1, subset_size));
   std::size_t members = 0;
   if (wanted < ranked.size()) {
-    const std::size_t floor =
-        std::max<std::size_t>(1, subset_size / (kFloorPart * std::max<std::size_t>(1, taken.size())));
+    const std::size_t floor = std::max<std::size_t>(
+        1, subset_size / (kFloorPart * std::max<std::size_t>(1, taken.size())));
     for (const Ranked& candidate : ranked) {
       std::size_t& in_centre = taken[candidate.agent->announce.data_centre];
       if (in_centre < floor) {
@@ -213,8 +213,8 @@
   std::vector<RosterItem> roster;
   for (const auto& [incarnation, agent] : this->agents) {
     if (agent.first_roster != 0) {
-      roster.push_back({agent.announce.service, incarnation, agent.announce.address,
-                        agent.first_roster, 0});
+      roster.push_back(
+          {agent.announce.service, incarnation, agent.announce.address, agent.first_roster, 0});
     }
   }
   for (const Removed& gone : this->removed) {
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -42,9 +42,10 @@
     this->started_at = this->now;
   } else if (this->now - before > kPauseGap) {
     this->grace_until = this->now + this->Health().heartbeat;
-    this->Log(1001, "entry_paused",
-              "gap_ms=" + std::to_string(
-                              std::chrono::duration_cast<Milliseconds>(this->now - before).count()));
+    this->Log(
+        1001, "entry_paused",
+        "gap_ms=" +
+            std::to_string(std::chrono::duration_cast<Milliseconds>(this->now - before).count()));
   }
   for (const std::uint64_t job : this->jobs.Due(this->now)) {
     this->OnJobDue(job);
@@ -82,9 +83,8 @@
   }
   this->directory.Expire(kept, this->now);
   this->salvaged.Expire(this->now);
-  std::erase_if(this->adopted, [&](const auto& element) {
-    return this->now - element.second.adopted >= kept;
-  });
+  std::erase_if(this->adopted,
+                [&](const auto& element) { return this->now - element.second.adopted >= kept; });
 }
 
 void EntryCore::Finish() {
@@ -113,9 +113,9 @@
   }
   this->directory.Bind(service->name, service->configuration->endpoints);
   service->jobs_at_risk = true;
-  this->Log(1002, "configuration_applied",
-            "service=" + service->name +
-                " version=" + std::to_string(service->configuration->version));
+  this->Log(
+      1002, "configuration_applied",
+      "service=" + service->name + " version=" + std::to_string(service->configuration->version));
 }
 
 ServiceState* EntryCore::FindService(std::string_view name) {
@@ -160,11 +160,10 @@
       if (agent.announce.service != name) {
         continue;
       }
-      entry.agents.push_back({agent.announce.name, incarnation, agent.announce.address,
-                              agent.outstanding.size(), agent.leaving,
-                              !service.health.IsAvailable(agent.announce.name),
-                              status_time - agent.last_heard >=
-                                  service.configuration->health.agent_lost});
+      entry.agents.push_back(
+          {agent.announce.name, incarnation, agent.announce.address, agent.outstanding.size(),
+           agent.leaving, !service.health.IsAvailable(agent.announce.name),
+           status_time - agent.last_heard >= service.configuration->health.agent_lost});
     }
     status.services.push_back(std::move(entry));
   }
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -148,7 +148,7 @@
   /// Answers the job if its answer is known. The job may be gone afterwards.
   void TryAnswer(Job& job);
   void AnswerJob(Job& job, Answer answer);
-  void EndTask(Job& job, std::uint32_t index, TaskState state);
+  void EndTask(Job& job, std::uint32_t index, JobTaskState state);
   void EraseIfEnded(std::uint64_t job);
   void OnJobDue(std::uint64_t id);
   void RefuseHopelessJobs(ServiceState& service);
--- a/src/core/entry_core_agents.cc
+++ b/src/core/entry_core_agents.cc
@@ -48,8 +48,7 @@
     }
     const auto& health = service->configuration->health;
     const auto silent = this->now - agent.last_heard;
-    const bool has_left =
-        agent.leaving && agent.outstanding.empty() && silent >= health.agent_lost;
+    const bool has_left = agent.leaving && agent.outstanding.empty() && silent >= health.agent_lost;
     if (this->now >= this->grace_until && (silent >= health.agent_dead || has_left)) {
       gone.push_back(incarnation);
     }
@@ -71,24 +70,23 @@
   for (const auto& [ref, expected] : outstanding) {
     Job& job = *this->jobs.Find(ref.job);
     Task& task = job.tasks[ref.index];
-    if (task.state == TaskState::kBatched) {
+    if (task.state == JobTaskState::kBatched) {
       // No start was sent, so the task goes back to the queue as it was.
       this->batcher.Remove(incarnation, ref);
-      task.state = TaskState::kWaiting;
+      task.state = JobTaskState::kWaiting;
       task.agent = {};
       service.queue.Add(ref, job.urgency, job.deadline, task.expected);
     } else {
-      this->EndTask(job, ref.index, TaskState::kUnknown);
+      this->EndTask(job, ref.index, JobTaskState::kUnknown);
       lost_jobs.insert(ref.job);
     }
   }
   this->directory.Remove(incarnation, replaced, this->now);
   service.members_changed = true;
   service.jobs_at_risk = true;
-  const bool other_incarnation =
-      std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
-        return element.second.announce.name == name;
-      });
+  const bool other_incarnation = std::ranges::any_of(
+      this->directory.Agents(),
+      [&](const auto& element) { return element.second.announce.name == name; });
   if (!replaced && !other_incarnation) {
     service.health.Forget(name);
     service.model.Forget(name);
--- a/src/core/entry_core_departure.cc
+++ b/src/core/entry_core_departure.cc
@@ -83,8 +83,8 @@
 void EntryCore::ChooseSuccessor() {
   std::vector<EntryInfo> candidates;
   for (const EntryInfo& peer : this->peers.Alive(this->Health().agent_lost, this->now)) {
-    const bool tried = std::ranges::find(this->departure.tried, peer.incarnation) !=
-                       this->departure.tried.end();
+    const bool tried =
+        std::ranges::find(this->departure.tried, peer.incarnation) != this->departure.tried.end();
     if (!tried && !this->peers.Find(peer.incarnation)->leaving) {
       candidates.push_back(peer);
     }
@@ -129,8 +129,8 @@
 
 void EntryCore::On(const HandOverReplied& event) {
   Departure& leaving = this->departure;
-  if (leaving.stage != Departure::Stage::kHandingOver || !leaving.in_flight ||
-      !leaving.successor || leaving.successor->incarnation != event.to) {
+  if (leaving.stage != Departure::Stage::kHandingOver || !leaving.in_flight || !leaving.successor ||
+      leaving.successor->incarnation != event.to) {
     return;
   }
   leaving.in_flight = false;
--- a/src/core/entry_core_jobs.cc
+++ b/src/core/entry_core_jobs.cc
@@ -73,9 +73,9 @@
   }
   for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
     const Task& task = job.tasks[index];
-    if (task.state == TaskState::kWaiting || task.state == TaskState::kBatched) {
+    if (task.state == JobTaskState::kWaiting || task.state == JobTaskState::kBatched) {
       this->DropTask(job, index);
-    } else if (task.state == TaskState::kSent && (stop_running || !task.runs)) {
+    } else if (task.state == JobTaskState::kSent && (stop_running || !task.runs)) {
       this->Withdraw({job.id, index}, stop_running);
     }
   }
@@ -84,29 +84,29 @@
 
 void EntryCore::DropTask(Job& job, std::uint32_t index) {
   const TaskRef ref{job.id, index};
-  if (job.tasks[index].state == TaskState::kWaiting) {
+  if (job.tasks[index].state == JobTaskState::kWaiting) {
     this->FindService(job.ticket.service)->queue.Remove(ref);
   }
-  this->EndTask(job, index, TaskState::kNotRun);
+  this->EndTask(job, index, JobTaskState::kNotRun);
 }
 
-void EntryCore::EndTask(Job& job, std::uint32_t index, TaskState state) {
+void EntryCore::EndTask(Job& job, std::uint32_t index, JobTaskState state) {
   Task& task = job.tasks[index];
   const TaskRef ref{job.id, index};
   if (Agent* agent = this->directory.Find(task.agent)) {
     agent->outstanding.erase(ref);
     agent->withdrawals.Remove(ref);
-    if (task.state == TaskState::kBatched) {
+    if (task.state == JobTaskState::kBatched) {
       --agent->unreported;
     }
   }
-  if (task.state == TaskState::kBatched) {
+  if (task.state == JobTaskState::kBatched) {
     this->batcher.Remove(task.agent, ref);
   }
   task.state = state;
   task.spec.payload = std::string();
   --job.open;
-  if (state == TaskState::kDone) {
+  if (state == JobTaskState::kDone) {
     ++job.done;
   }
 }
@@ -130,8 +130,8 @@
     return;
   }
   const auto ran = [](const Task& task) {
-    return task.runs || task.state == TaskState::kDone || task.state == TaskState::kFailed ||
-           task.state == TaskState::kUnknown;
+    return task.runs || task.state == JobTaskState::kDone || task.state == JobTaskState::kFailed ||
+           task.state == JobTaskState::kUnknown;
   };
   const bool any_ran = std::ranges::any_of(job.tasks, ran);
   if (!any_ran && job.open > 0 && this->now < job.failure->until) {
@@ -197,7 +197,7 @@
   for (const std::uint64_t id : this->jobs.Ids(service.name)) {
     Job& job = *this->jobs.Find(id);
     const bool waits = std::ranges::any_of(
-        job.tasks, [](const Task& task) { return task.state == TaskState::kWaiting; });
+        job.tasks, [](const Task& task) { return task.state == JobTaskState::kWaiting; });
     if (!job.failure && waits && !this->HasPossibleAgent(job)) {
       this->FailJob(job, "no_agents",
                     "no agent that the ticket may use is left; submit again with a fresh ticket",
--- a/src/core/entry_core_peers.cc
+++ b/src/core/entry_core_peers.cc
@@ -45,8 +45,7 @@
 void EntryCore::SendHellos() {
   for (const std::string& address : this->peers.TakeDue(this->Health().heartbeat, this->now)) {
     const std::uint64_t number = this->directory.RosterNumber();
-    const bool with_roster =
-        number != 0 && this->peers.NeedsRoster(address, number, this->now);
+    const bool with_roster = number != 0 && this->peers.NeedsRoster(address, number, this->now);
     this->peers.HelloSent(address, with_roster ? number : 0, this->now);
     ++this->counters.hellos_sent;
     this->Do(SendHello{address, this->MakeHello(with_roster)});
@@ -80,8 +79,8 @@
   bool with_roster = true;
   if (peer != nullptr) {
     this->ReadHello(hello);
-    with_roster = this->peers.NeedsRoster(hello.entry.address, this->directory.RosterNumber(),
-                                          this->now);
+    with_roster =
+        this->peers.NeedsRoster(hello.entry.address, this->directory.RosterNumber(), this->now);
   }
   this->Do(ReplyHello{event.request, this->MakeHello(with_roster)});
 }
@@ -114,8 +113,7 @@
   return found == this->adopted.end() ? nullptr : &found->second;
 }
 
-bool EntryCore::AnswerForeign(const Waiter& waiter, const Ticket& ticket,
-                              std::uint64_t body_hash) {
+bool EntryCore::AnswerForeign(const Waiter& waiter, const Ticket& ticket, std::uint64_t body_hash) {
   if (const auto* kept = this->salvaged.Find(ticket)) {
     if (kept->body_hash != body_hash) {
       this->Refuse(waiter,
@@ -143,10 +141,10 @@
   }
   switch (handed_over->ledger.Look(ticket, this->now)) {
     case TicketState::kNeverIssued:
-      this->Refuse(waiter,
-                   {ErrorKind::kUnknownTicket, "the ticket was never issued; use it as granted",
-                    false},
-                   ticket);
+      this->Refuse(
+          waiter,
+          {ErrorKind::kUnknownTicket, "the ticket was never issued; use it as granted", false},
+          ticket);
       break;
     case TicketState::kUsed:
     case TicketState::kForgotten:
@@ -238,9 +236,8 @@
     return;
   }
   this->forwards.Sent(forward, target->incarnation, this->now);
-  this->Do(SendForward{target->address,
-                       target->incarnation,
-                       {this->self, forward.request, forward.submission}});
+  this->Do(SendForward{
+      target->address, target->incarnation, {this->self, forward.request, forward.submission}});
 }
 
 void EntryCore::On(const ForwardReplied& event) {
@@ -273,9 +270,9 @@
   const ForwardRequest& message = event.message;
   this->peers.Hear(message.from, this->now);
   const auto& ticket = message.submission.ticket;
-  const bool served = ticket && this->FindService(ticket->service) != nullptr &&
-                      (ticket->owner == this->self.incarnation ||
-                       this->FindAdopted(*ticket) != nullptr);
+  const bool served =
+      ticket && this->FindService(ticket->service) != nullptr &&
+      (ticket->owner == this->self.incarnation || this->FindAdopted(*ticket) != nullptr);
   this->Do(ReplyForward{event.request, {this->self.incarnation, served}});
   if (!served || this->outbox.Contains(message.from.incarnation, message.request_id)) {
     return;
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -23,6 +23,15 @@
 /// response time: the tasks of other entries end without a word to this one.
 constexpr int kStalePart = 10;
 
+bool Contains(const std::vector<Incarnation>& agents, const Incarnation& agent) {
+  return std::ranges::find(agents, agent) != agents.end();
+}
+
+/// Reasons by which an agent proves that a task it had recorded did not run.
+bool ProvesNotRun(const Outcome& outcome) {
+  return !outcome.ok && (outcome.reason == "not_run" || outcome.reason == "expired");
+}
+
 bool Fits(const TaskSpec& spec, const WorkerCapacity& worker) {
   return (worker.cores <= 0 || spec.cores <= worker.cores) &&
          (worker.memory_mb <= 0 || spec.memory_mb <= worker.memory_mb) &&
@@ -54,8 +63,7 @@
   }
   const std::string& name = agent.announce.name;
   usable.probe = !service.health.IsAvailable(name);
-  if (usable.probe &&
-      (!agent.outstanding.empty() || !service.health.MayProbe(name, this->now))) {
+  if (usable.probe && (!agent.outstanding.empty() || !service.health.MayProbe(name, this->now))) {
     return false;
   }
   usable.agent = &agent;
@@ -118,7 +126,8 @@
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const Agent& agent = *usable[i].agent;
     if (agent.first_roster > job.ticket.roster || !Fits(task.spec, agent.announce.worker) ||
-        std::ranges::find(job.excluded, agent.announce.agent) != job.excluded.end()) {
+        Contains(job.excluded, agent.announce.agent) ||
+        Contains(task.excluded, agent.announce.agent)) {
       continue;
     }
     if (usable[i].probe) {
@@ -187,7 +196,7 @@
   if (usable.probe) {
     service.health.ProbeSent(agent.announce.name, this->now);
   }
-  task.state = TaskState::kBatched;
+  task.state = JobTaskState::kBatched;
   task.agent = agent.announce.agent;
   task.channel_sequence = 0;
   task.runs = false;
@@ -234,7 +243,7 @@
   request.channel_sequence = this->directory.NextChannelSequence(agent);
   for (const TaskRef& ref : sent) {
     Task& task = this->jobs.Find(ref.job)->tasks[ref.index];
-    task.state = TaskState::kSent;
+    task.state = JobTaskState::kSent;
     task.channel_sequence = request.channel_sequence;
   }
   this->counters.tasks_started += sent.size();
@@ -248,8 +257,8 @@
     return nullptr;
   }
   Task& task = job->tasks[ref.index];
-  const bool same = task.state == TaskState::kSent && task.agent == agent &&
-                    task.channel_sequence == sequence;
+  const bool same =
+      task.state == JobTaskState::kSent && task.agent == agent && task.channel_sequence == sequence;
   return same ? &task : nullptr;
 }
 
@@ -354,7 +363,7 @@
   Job& job = *this->jobs.Find(ref.job);
   Task& task = job.tasks[ref.index];
   if (job.failure || job.answered) {
-    this->EndTask(job, ref.index, TaskState::kNotRun);
+    this->EndTask(job, ref.index, JobTaskState::kNotRun);
     this->TryAnswer(job);
     return;
   }
@@ -363,7 +372,7 @@
     agent->withdrawals.Remove(ref);
   }
   ++task.refusals;
-  task.state = TaskState::kWaiting;
+  task.state = JobTaskState::kWaiting;
   task.agent = {};
   task.channel_sequence = 0;
   ServiceState& service = *this->FindService(job.ticket.service);
@@ -456,9 +465,9 @@
   if (agent != nullptr) {
     service = this->FindService(agent->announce.service);
   }
-  this->Do(ReplyOutcomes{event.request,
-                         {this->self.incarnation,
-                          service == nullptr ? 0 : service->configuration->version}});
+  this->Do(ReplyOutcomes{
+      event.request,
+      {this->self.incarnation, service == nullptr ? 0 : service->configuration->version}});
   if (event.message.owner != this->self.incarnation) {
     return;
   }
@@ -475,7 +484,12 @@
     return;
   }
   Task& task = job->tasks[index];
-  if (task.state != TaskState::kSent || task.agent != incarnation) {
+  if (task.state != JobTaskState::kSent || task.agent != incarnation) {
+    return;
+  }
+  if (ProvesNotRun(outcome)) {
+    task.excluded.push_back(incarnation);
+    this->ProvenNotRun({job->id, index});
     return;
   }
   const Agent* agent = this->directory.Find(incarnation);
@@ -488,22 +502,23 @@
       this->Log(1003, "agent_ejected", "agent=" + name);
     }
     if (outcome.ok) {
-      service.model.Observe(
-          job->kind, name, std::chrono::duration_cast<Microseconds>(task.spec.declared),
-          outcome.run_time);
+      service.model.Observe(job->kind, name,
+                            std::chrono::duration_cast<Microseconds>(task.spec.declared),
+                            outcome.run_time);
     }
   }
   if (outcome.ok) {
     if (!job->answered) {
       task.result = outcome.result;
     }
-    this->EndTask(*job, index, TaskState::kDone);
+    this->EndTask(*job, index, JobTaskState::kDone);
     this->TryAnswer(*job);
     return;
   }
-  this->EndTask(*job, index, TaskState::kFailed);
-  this->FailJob(*job, "task_failed", "task " + std::to_string(index) + " failed: " + outcome.reason,
-                false);
+  this->EndTask(*job, index, JobTaskState::kFailed);
+  const bool unknown = outcome.reason == "outcome_unknown";
+  this->FailJob(*job, unknown ? "outcome_unknown" : "task_failed",
+                "task " + std::to_string(index) + " failed: " + outcome.reason, false);
 }
 
 }  // namespace quetzalvale
--- a/src/core/entry_core_submissions.cc
+++ b/src/core/entry_core_submissions.cc
@@ -44,11 +44,11 @@
     return;
   }
   if (!service->IsConfigured()) {
-    this->Refuse(waiter,
-                 {ErrorKind::kNotReady,
-                  "this entry has no configuration of the service yet; submit again later",
-                  !has_identity},
-                 submission.ticket);
+    this->Refuse(
+        waiter,
+        {ErrorKind::kNotReady,
+         "this entry has no configuration of the service yet; submit again later", !has_identity},
+        submission.ticket);
     return;
   }
   if (!has_identity) {
@@ -86,10 +86,10 @@
                            ? service.ledger.Issue(1, this->directory.RosterNumber(), this->now)
                            : std::vector<Ticket>{};
   if (tickets.empty()) {
-    this->Refuse(waiter,
-                 {ErrorKind::kOverloaded, "too many keys are being claimed; submit again later",
-                  false},
-                 std::nullopt);
+    this->Refuse(
+        waiter,
+        {ErrorKind::kOverloaded, "too many keys are being claimed; submit again later", false},
+        std::nullopt);
     return;
   }
   this->key_claims[waiter.request] = {submission, false};
@@ -103,9 +103,8 @@
     return;
   }
   KeyClaim& claim = node.mapped();
-  const Waiter waiter{claim.caller_gone ? Waiter::Kind::kNobody : Waiter::Kind::kCaller,
-                      event.request,
-                      {}};
+  const Waiter waiter{
+      claim.caller_gone ? Waiter::Kind::kNobody : Waiter::Kind::kCaller, event.request, {}};
   if (const auto* error = std::get_if<Error>(&event.ticket)) {
     this->Refuse(waiter,
                  {ErrorKind::kPlatformUnavailable,
@@ -175,13 +174,12 @@
                    ticket);
       return;
     case TicketState::kRefused:
-      this->Refuse(
-          waiter,
-          {ErrorKind::kTicketExpired,
-           std::string("the ticket's job was refused before and nothing of it ran; ") +
-               kUseFreshTicket + " or another key",
-           true},
-          ticket);
+      this->Refuse(waiter,
+                   {ErrorKind::kTicketExpired,
+                    std::string("the ticket's job was refused before and nothing of it ran; ") +
+                        kUseFreshTicket + " or another key",
+                    true},
+                   ticket);
       return;
     case TicketState::kUsed:
     case TicketState::kForgotten:
@@ -237,9 +235,9 @@
            agent.first_roster > submission.ticket->roster;
   });
   if (!load.has_agents && any_agent) {
-    return Refusal{ErrorKind::kTicketExpired,
-                   std::string("no agent from when the ticket was issued is left; ") +
-                       kUseFreshTicket};
+    return Refusal{
+        ErrorKind::kTicketExpired,
+        std::string("no agent from when the ticket was issued is left; ") + kUseFreshTicket};
   }
   if (auto error = CheckAdmission(*service.configuration, service.model, load, submission)) {
     return Refusal{error->kind, error->message};
@@ -283,8 +281,8 @@
     const int busy = agent.announce.worker.slots - agent.announce.load.free_slots;
     const int own = static_cast<int>(agent.outstanding.size());
     const int others = std::clamp(busy - own, 0, agent.announce.worker.slots);
-    load.effective_slots += (agent.announce.worker.slots - others) *
-                            service.model.Speed(agent.announce.name);
+    load.effective_slots +=
+        (agent.announce.worker.slots - others) * service.model.Speed(agent.announce.name);
   }
   return load;
 }
@@ -294,11 +292,11 @@
     return std::min(submission.deadline, kLongestDeadline);
   }
   const auto* kind = service.configuration->FindKind(submission.kind);
-  return kind == nullptr ? KindConfiguration().deadline : std::min(kind->deadline, kLongestDeadline);
+  return kind == nullptr ? KindConfiguration().deadline
+                         : std::min(kind->deadline, kLongestDeadline);
 }
 
-void EntryCore::TakeJob(ServiceState& service, const Waiter& waiter,
-                        const Submission& submission) {
+void EntryCore::TakeJob(ServiceState& service, const Waiter& waiter, const Submission& submission) {
   service.ledger.Use(*submission.ticket, this->now);
   Job fresh;
   fresh.ticket = *submission.ticket;
@@ -322,22 +320,21 @@
 void EntryCore::On(const TicketsRequested& event) {
   ServiceState* service = this->FindService(event.service);
   if (service == nullptr) {
-    this->Do(GrantTickets{
-        event.request,
-        Error{ErrorKind::kUnknownService,
-              "service \"" + event.service + "\" is not served here; check its name"}});
+    this->Do(GrantTickets{event.request, Error{ErrorKind::kUnknownService,
+                                               "service \"" + event.service +
+                                                   "\" is not served here; check its name"}});
     return;
   }
   if (!service->IsConfigured()) {
-    this->Do(GrantTickets{
-        event.request,
-        Error{ErrorKind::kNotReady,
-              "this entry has no configuration of the service yet; ask again later"}});
+    this->Do(
+        GrantTickets{event.request,
+                     Error{ErrorKind::kNotReady,
+                           "this entry has no configuration of the service yet; ask again later"}});
     return;
   }
   if (this->IsLeaving()) {
-    this->Do(GrantTickets{
-        event.request, Error{ErrorKind::kLeaving, "this entry is leaving; ask another one"}});
+    this->Do(GrantTickets{event.request,
+                          Error{ErrorKind::kLeaving, "this entry is leaving; ask another one"}});
     return;
   }
   this->Do(GrantTickets{event.request,
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -27,7 +27,7 @@
   auto operator<=>(const TaskRef&) const = default;
 };
 
-enum class TaskState {
+enum class JobTaskState {
   /// Waits at the entry; no agent has it.
   kWaiting,
   /// Assigned to an agent; the start is not sent yet.
@@ -44,7 +44,7 @@
 
 struct Task {
   TaskSpec spec;
-  TaskState state = TaskState::kWaiting;
+  JobTaskState state = JobTaskState::kWaiting;
   /// Set while kBatched or kSent, and kept when the task has ended.
   Incarnation agent;
   std::uint64_t channel_sequence = 0;
@@ -52,6 +52,9 @@
   bool runs = false;
   /// Placements that were proven not run.
   std::uint32_t refusals = 0;
+  /// Agents that recorded the task and ended it without running it. They take it no second time,
+  /// because a delayed copy of that outcome could be mistaken for one of the second start.
+  std::vector<Incarnation> excluded;
   Microseconds expected{0};
   std::string result;
 };
--- a/src/core/peer_table.cc
+++ b/src/core/peer_table.cc
@@ -52,9 +52,8 @@
   if (this->peers.size() < kMaxPeers) {
     return;
   }
-  const auto oldest = std::ranges::min_element(this->peers, {}, [](const auto& element) {
-    return element.second.last_heard;
-  });
+  const auto oldest = std::ranges::min_element(
+      this->peers, {}, [](const auto& element) { return element.second.last_heard; });
   this->peers.erase(oldest);
 }
 
@@ -215,8 +214,7 @@
   Target& target = found->second;
   target.in_flight = false;
   if (entry == nullptr) {
-    target.backoff =
-        std::clamp<Time::duration>(target.backoff * 2, seconds{1}, kLongestBackoff);
+    target.backoff = std::clamp<Time::duration>(target.backoff * 2, seconds{1}, kLongestBackoff);
     target.next = now + target.backoff;
     return;
   }
--- a/src/core/salvage.cc
+++ b/src/core/salvage.cc
@@ -89,6 +89,9 @@
   Answer answer;
   answer.ticket = this->ticket;
   for (const auto& [index, outcome] : this->outcomes) {
+    if (!outcome.ok && outcome.reason == "outcome_unknown") {
+      return this->Unknown();
+    }
     if (!outcome.ok) {
       answer.status = AnswerStatus::kFailed;
       answer.reason = "task_failed";
@@ -138,8 +141,9 @@
   answer.ticket = this->ticket;
   answer.status = AnswerStatus::kRefused;
   answer.error = ErrorKind::kTicketExpired;
-  answer.message = "the entry that issued the ticket is gone and nothing of the job ran; submit "
-                   "again with a fresh ticket";
+  answer.message =
+      "the entry that issued the ticket is gone and nothing of the job ran; submit "
+      "again with a fresh ticket";
   answer.not_run = true;
   return answer;
 }
--- a/src/core/start_batcher.cc
+++ b/src/core/start_batcher.cc
@@ -42,8 +42,7 @@
       const std::size_t last = std::min(tasks.size(), first + current->second.limit);
       Batch batch{current->first, {}};
       std::copy(tasks.begin() + static_cast<std::ptrdiff_t>(first),
-                tasks.begin() + static_cast<std::ptrdiff_t>(last),
-                std::back_inserter(batch.tasks));
+                tasks.begin() + static_cast<std::ptrdiff_t>(last), std::back_inserter(batch.tasks));
       due.push_back(std::move(batch));
     }
     current = this->pending.erase(current);
--- /dev/null
+++ b/tests/core/simulation.cc
@@ -0,0 +1,644 @@
+#include "tests/core/simulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalvale {
+namespace {
+
+constexpr const char* kService = "orders";
+constexpr Milliseconds kCallTimeout{800};
+
+std::string ExpectedResult(const TaskKey& task, const std::string& payload) {
+  return "\"" + std::to_string(task.index) + ":" + payload + "\"";
+}
+
+}  // namespace
+
+Simulation::Simulation(std::uint64_t seed, SimulationSettings settings)
+    : settings(settings), random(seed), configuration(this->MakeConfiguration()) {
+  for (int i = 0; i < settings.entries; ++i) {
+    this->StartProcess("entry" + std::to_string(i), true);
+  }
+  for (int i = 0; i < settings.agents; ++i) {
+    this->StartProcess("agent" + std::to_string(i), false);
+  }
+}
+
+std::shared_ptr<ServiceConfiguration> Simulation::MakeConfiguration() {
+  auto made = std::make_shared<ServiceConfiguration>();
+  made->service = kService;
+  made->version = 1;
+  made->kinds = {{"quote", 1, Milliseconds(2000), Milliseconds(20)},
+                 {"check", 0, Milliseconds(1000), Milliseconds(20)}};
+  made->worker_limits.accelerators = 0;
+  made->tickets.valid = std::chrono::seconds(20);
+  made->tickets.answer_kept = std::chrono::seconds(60);
+  made->tickets.answers_kept = 5000;
+  made->health.heartbeat = Milliseconds(200);
+  made->health.agent_lost = Milliseconds(600);
+  made->health.agent_dead = Milliseconds(2000);
+  made->health.eject_after = 5;
+  made->health.probe_after = Milliseconds(300);
+  made->lease = Milliseconds(600);
+  return made;
+}
+
+bool Simulation::Chance(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(this->random) < probability;
+}
+
+Milliseconds Simulation::Between(int low, int high) {
+  return Milliseconds(std::uniform_int_distribution<int>(low, high)(this->random));
+}
+
+Microseconds Simulation::NetworkDelay() {
+  if (this->faulty && this->Chance(this->settings.slow)) {
+    return this->Between(20, 3000);
+  }
+  return Microseconds(std::uniform_int_distribution<int>(100, 2000)(this->random));
+}
+
+void Simulation::At(Time time, std::function<void()> action) {
+  this->steps.push({time, this->order++, std::move(action)});
+}
+
+void Simulation::After(Time::duration delay, std::function<void()> action) {
+  this->At(this->now + delay, std::move(action));
+}
+
+void Simulation::InProcess(const std::string& address, std::uint64_t generation,
+                           std::function<void(Process&)> action) {
+  Process& process = this->processes[address];
+  if (!process.alive || process.generation != generation) {
+    return;
+  }
+  if (this->now < process.frozen_until) {
+    this->At(process.frozen_until, [this, address, generation, action = std::move(action)] {
+      this->InProcess(address, generation, action);
+    });
+    return;
+  }
+  action(process);
+}
+
+void Simulation::StartProcess(const std::string& address, bool is_entry) {
+  Process& process = this->processes[address];
+  process.address = address;
+  ++process.generation;
+  process.alive = true;
+  process.leaving = false;
+  process.frozen_until = this->now;
+  const Incarnation incarnation{7, this->next_incarnation++};
+  process.info = {incarnation, address, "dc"};
+  std::vector<std::string> seeds;
+  for (int i = 0; i < this->settings.entries; ++i) {
+    seeds.push_back("entry" + std::to_string(i));
+  }
+  if (is_entry) {
+    process.entry = std::make_unique<EntryCore>(process.info, std::vector<std::string>{kService},
+                                                seeds, this->random());
+    this->HandleEntry(process, ConfigurationChanged{this->configuration});
+  } else {
+    AgentIdentity identity;
+    identity.incarnation = incarnation;
+    identity.name = address;
+    identity.service = kService;
+    identity.data_centre = "dc";
+    identity.address = address;
+    identity.worker = {3, 64, 16, 32768, 0};
+    process.agent = std::make_unique<AgentCore>(identity, seeds);
+    this->HandleAgent(process, AgentConfigurationChanged{this->configuration});
+  }
+  this->TickProcess(address, process.generation);
+}
+
+void Simulation::TickProcess(const std::string& address, std::uint64_t generation) {
+  this->After(Milliseconds(10), [this, address, generation] {
+    this->InProcess(address, generation, [this, address, generation](Process& process) {
+      if (process.entry) {
+        this->HandleEntry(process, Tick{});
+      } else {
+        this->HandleAgent(process, Tick{});
+      }
+      this->TickProcess(address, generation);
+    });
+  });
+}
+
+void Simulation::HandleEntry(Process& process, const EntryEvent& event) {
+  ++this->events;
+  for (const EntryAction& action : process.entry->Handle(this->now, event)) {
+    std::visit([&](const auto&) { this->Perform(process, action); }, action);
+    if (!process.alive) {
+      return;
+    }
+  }
+}
+
+void Simulation::HandleAgent(Process& process, const AgentEvent& event) {
+  ++this->events;
+  for (const AgentAction& action : process.agent->Handle(this->now, event)) {
+    this->Perform(process, action);
+    if (!process.alive) {
+      return;
+    }
+  }
+}
+
+template <typename ReplyMessage>
+void Simulation::Call(Process& from, const std::string& address,
+                      std::function<void(Process&, RequestId)> deliver,
+                      std::function<void(Process&, Result<ReplyMessage>)> done) {
+  const std::string sender = from.address;
+  const std::uint64_t generation = from.generation;
+  const auto ended = std::make_shared<bool>(false);
+  const auto end = [this, sender, generation, ended, done](const Result<ReplyMessage>& result) {
+    this->InProcess(sender, generation, [ended, done, result](Process& process) {
+      if (!std::exchange(*ended, true)) {
+        done(process, result);
+      }
+    });
+  };
+  const bool cut_off = this->cut.contains({sender, address});
+  if (this->faulty && this->Chance(0.005)) {
+    this->After(Milliseconds(1), [end] {
+      end(Error{ErrorKind::kUnreachable, "the call was not sent"});
+    });
+    return;
+  }
+  this->After(kCallTimeout, [end] { end(Error{ErrorKind::kTimeout, "no reply"}); });
+  int copies = this->faulty && this->Chance(this->settings.repeated) ? 2 : 1;
+  if (cut_off || (this->faulty && this->Chance(this->settings.lost))) {
+    copies = 0;
+  }
+  for (int i = 0; i < copies; ++i) {
+    this->After(this->NetworkDelay(), [this, address, sender, deliver, end] {
+      // Whoever has the address now gets the message.
+      const std::uint64_t receiver = this->processes[address].generation;
+      this->InProcess(address, receiver, [this, address, sender, deliver, end](Process& process) {
+        const RequestId request = this->next_request++;
+        this->calls[request] = [this, address, sender, end](const void* reply) {
+          const auto copy = *static_cast<const ReplyMessage*>(reply);
+          const bool lost = this->cut.contains({address, sender}) ||
+                            (this->faulty && this->Chance(this->settings.lost));
+          if (!lost) {
+            this->After(this->NetworkDelay(), [end, copy] { end(copy); });
+          }
+        };
+        deliver(process, request);
+      });
+    });
+  }
+}
+
+template <typename ReplyMessage>
+void Simulation::Answer_(RequestId request, const ReplyMessage& reply) {
+  const auto found = this->calls.find(request);
+  if (found == this->calls.end()) {
+    this->faults.push_back("two replies to call " + std::to_string(request));
+    return;
+  }
+  const auto call = std::move(found->second);
+  this->calls.erase(found);
+  call(&reply);
+}
+
+void Simulation::Perform(Process& process, const EntryAction& action) {
+  if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
+    this->OnAnswer(*answer);
+  } else if (const auto* grant = std::get_if<GrantTickets>(&action)) {
+    if (IsOk(grant->tickets)) {
+      const auto& granted = std::get<0>(grant->tickets);
+      this->tickets.insert(this->tickets.end(), granted.begin(), granted.end());
+    }
+  } else if (const auto* claim = std::get_if<ClaimKey>(&action)) {
+    const bool fails = this->Chance(0.1);
+    Result<Ticket> result = Error{ErrorKind::kPlatformUnavailable, "outage"};
+    if (!fails || this->Chance(0.5)) {
+      const auto row = this->keys.try_emplace(claim->key, claim->ticket).first;
+      if (!fails) {
+        result = row->second;
+      }
+    }
+    const RequestId request = claim->request;
+    this->After(this->Between(2, 20), [this, address = process.address,
+                                       generation = process.generation, request, result] {
+      this->InProcess(address, generation, [this, request, result](Process& same) {
+        this->HandleEntry(same, KeyClaimed{request, result});
+      });
+    });
+  } else if (const auto* start = std::get_if<SendStart>(&action)) {
+    this->Call<StartReply>(
+        process, start->address,
+        [this, message = start->message](Process& to, RequestId request) {
+          if (to.agent) this->HandleAgent(to, StartReceived{request, message});
+        },
+        [this, agent = start->message.agent, sequence = start->message.channel_sequence](
+            Process& from, Result<StartReply> reply) {
+          this->HandleEntry(from, StartReplied{agent, sequence, std::move(reply)});
+        });
+  } else if (const auto* withdraw = std::get_if<SendWithdraw>(&action)) {
+    this->Call<WithdrawReply>(
+        process, withdraw->address,
+        [this, message = withdraw->message](Process& to, RequestId request) {
+          if (to.agent) this->HandleAgent(to, WithdrawReceived{request, message});
+        },
+        [this, agent = withdraw->message.agent, items = withdraw->message.items](
+            Process& from, Result<WithdrawReply> reply) {
+          this->HandleEntry(from, WithdrawReplied{agent, items, std::move(reply)});
+        });
+  } else if (const auto* seal = std::get_if<SendSeal>(&action)) {
+    this->Call<SealReply>(
+        process, seal->address,
+        [this, message = seal->message](Process& to, RequestId request) {
+          if (to.agent) this->HandleAgent(to, SealReceived{request, message});
+        },
+        [this, agent = seal->agent, ticket = seal->message.ticket](Process& from,
+                                                                   Result<SealReply> reply) {
+          this->HandleEntry(from, SealReplied{agent, ticket, std::move(reply)});
+        });
+  } else if (const auto* hello = std::get_if<SendHello>(&action)) {
+    this->Call<Hello>(
+        process, hello->address,
+        [this, message = hello->message](Process& to, RequestId request) {
+          if (to.entry) this->HandleEntry(to, HelloReceived{request, message});
+        },
+        [this, address = hello->address](Process& from, Result<Hello> reply) {
+          this->HandleEntry(from, HelloReplied{address, std::move(reply)});
+        });
+  } else if (const auto* forward = std::get_if<SendForward>(&action)) {
+    this->Call<ForwardReply>(
+        process, forward->address,
+        [this, message = forward->message](Process& to, RequestId request) {
+          if (to.entry) this->HandleEntry(to, ForwardReceived{request, message});
+        },
+        [this, request = forward->message.request_id, to = forward->to](
+            Process& from, Result<ForwardReply> reply) {
+          this->HandleEntry(from, ForwardReplied{request, to, std::move(reply)});
+        });
+  } else if (const auto* sent = std::get_if<SendAnswer>(&action)) {
+    this->Call<Acknowledgement>(
+        process, sent->address,
+        [this, message = sent->message](Process& to, RequestId request) {
+          if (to.entry) this->HandleEntry(to, AnswerReceived{request, message});
+        },
+        [this, request = sent->message.request_id, to = sent->message.to](
+            Process& from, Result<Acknowledgement> reply) {
+          this->HandleEntry(from, AnswerReplied{to, request, std::move(reply)});
+        });
+  } else if (const auto* over = std::get_if<SendHandOver>(&action)) {
+    ++this->counts["hand_over"];
+    this->Call<Acknowledgement>(
+        process, over->address,
+        [this, message = over->message](Process& to, RequestId request) {
+          if (to.entry) this->HandleEntry(to, HandOverReceived{request, message});
+        },
+        [this, to = over->to, service = over->message.service](Process& from,
+                                                               Result<Acknowledgement> reply) {
+          this->HandleEntry(from, HandOverReplied{to, service, std::move(reply)});
+        });
+  } else if (const auto* cancel = std::get_if<SendCancel>(&action)) {
+    this->After(this->NetworkDelay(), [this, address = cancel->address,
+                                       ticket = cancel->message.ticket] {
+      this->InProcess(address, this->processes[address].generation, [this, ticket](Process& to) {
+        if (to.entry) this->HandleEntry(to, JobCancelled{this->next_request++, ticket});
+      });
+    });
+  } else if (const auto* announced = std::get_if<ReplyAnnounce>(&action)) {
+    this->Answer_(announced->request, announced->reply);
+  } else if (const auto* outcomes = std::get_if<ReplyOutcomes>(&action)) {
+    this->Answer_(outcomes->request, outcomes->reply);
+  } else if (const auto* greeted = std::get_if<ReplyHello>(&action)) {
+    this->Answer_(greeted->request, greeted->reply);
+  } else if (const auto* taken = std::get_if<ReplyForward>(&action)) {
+    this->Answer_(taken->request, taken->reply);
+  } else if (const auto* acknowledged = std::get_if<ReplyAcknowledgement>(&action)) {
+    this->Answer_(acknowledged->request, acknowledged->reply);
+  } else if (const auto* log = std::get_if<LogEvent>(&action)) {
+    ++this->counts[log->name];
+  } else if (std::holds_alternative<Departed>(action)) {
+    process.alive = false;
+    this->After(this->Between(10, 500),
+                [this, address = process.address] { this->StartProcess(address, true); });
+  }
+}
+
+void Simulation::Perform(Process& process, const AgentAction& action) {
+  const std::string address = process.address;
+  const std::uint64_t generation = process.generation;
+  const auto later = [&](Milliseconds delay, AgentEvent event) {
+    this->After(delay, [this, address, generation, event = std::move(event)] {
+      this->InProcess(address, generation,
+                      [this, event](Process& same) { this->HandleAgent(same, event); });
+    });
+  };
+  if (const auto* started_reply = std::get_if<ReplyStart>(&action)) {
+    this->Answer_(started_reply->request, started_reply->reply);
+  } else if (const auto* withdrawn = std::get_if<ReplyWithdraw>(&action)) {
+    this->Answer_(withdrawn->request, withdrawn->reply);
+  } else if (const auto* sealed = std::get_if<ReplySeal>(&action)) {
+    this->Answer_(sealed->request, sealed->reply);
+  } else if (const auto* start = std::get_if<StartOnEndpoint>(&action)) {
+    this->StartTask(process, *start);
+  } else if (const auto* stop = std::get_if<StopOnEndpoint>(&action)) {
+    Outcome outcome;
+    outcome.task = stop->task;
+    outcome.reason = "stopped";
+    later(Milliseconds(1), EndpointFinished{stop->task, outcome});
+  } else if (std::holds_alternative<CheckEndpoint>(action)) {
+    later(Milliseconds(1), EndpointChecked{true});
+  } else if (const auto* outcomes = std::get_if<SendOutcomes>(&action)) {
+    std::vector<TaskKey> tasks;
+    for (const Outcome& outcome : outcomes->message.outcomes) {
+      tasks.push_back(outcome.task);
+    }
+    this->Call<OutcomesReply>(
+        process, outcomes->address,
+        [this, message = outcomes->message](Process& to, RequestId request) {
+          if (to.entry) this->HandleEntry(to, OutcomesReceived{request, message});
+        },
+        [this, owner = outcomes->message.owner, tasks](Process& from, Result<OutcomesReply> reply) {
+          this->HandleAgent(from, OutcomesReplied{owner, tasks, std::move(reply)});
+        });
+  } else if (const auto* announce = std::get_if<SendAnnounce>(&action)) {
+    this->Call<AnnounceReply>(
+        process, announce->address,
+        [this, message = announce->message](Process& to, RequestId request) {
+          if (to.entry) this->HandleEntry(to, AgentAnnounced{request, message});
+        },
+        [this, to = announce->address](Process& from, Result<AnnounceReply> reply) {
+          this->HandleAgent(from, AnnounceReplied{to, std::move(reply)});
+        });
+  } else if (std::holds_alternative<Departed>(action)) {
+    process.alive = false;
+    this->After(this->Between(10, 500), [this, address] { this->StartProcess(address, false); });
+  }
+}
+
+void Simulation::StartTask(Process& process, const StartOnEndpoint& start) {
+  if (this->Chance(0.01)) {
+    this->After(Milliseconds(1), [this, address = process.address, generation = process.generation,
+                                  task = start.task] {
+      this->InProcess(address, generation, [this, task](Process& same) {
+        this->HandleAgent(same, EndpointRefused{task, "busy"});
+      });
+    });
+    return;
+  }
+  ++this->counts["started"];
+  if (!this->started.insert(start.task).second) {
+    this->faults.push_back("task started twice: " + start.task.Text());
+  }
+  this->started_tickets.insert(start.task.ticket);
+  if (this->not_run_tickets.contains(start.task.ticket)) {
+    this->faults.push_back("task started after its job was answered not run: " + start.task.Text());
+  }
+  Outcome outcome;
+  outcome.task = start.task;
+  outcome.ok = !this->Chance(this->settings.task_fails);
+  outcome.reason = outcome.ok ? "" : "endpoint_failed";
+  outcome.result = ExpectedResult(start.task, start.payload);
+  const Milliseconds run = this->Between(3, this->Chance(0.03) ? 900 : 50);
+  outcome.run_time = run;
+  if (outcome.ok) {
+    this->finished[start.task] = outcome.result;
+  }
+  this->After(run, [this, address = process.address, generation = process.generation, outcome] {
+    this->InProcess(address, generation, [this, outcome](Process& same) {
+      this->HandleAgent(same, EndpointFinished{outcome.task, outcome});
+    });
+  });
+}
+
+void Simulation::OnAnswer(const AnswerCaller& answer) {
+  const auto found = this->requests.find(answer.request);
+  if (found == this->requests.end() || found->second.answered) {
+    this->faults.push_back("request answered twice: " + std::to_string(answer.request));
+    return;
+  }
+  found->second.answered = true;
+  if (found->second.gone) {
+    return;
+  }
+  this->CheckAnswer(found->second, answer.answer);
+  for (const Ticket& ticket : answer.answer.fresh_tickets) {
+    this->tickets.push_back(ticket);
+  }
+}
+
+void Simulation::CheckAnswer(const Request& request, const Answer& answer) {
+  const Submission& submission = request.work->submission;
+  const auto& ticket = answer.ticket;
+  const char* names[] = {"complete", "failed_", "refused_"};
+  std::string name = names[static_cast<int>(answer.status)];
+  if (answer.status == AnswerStatus::kFailed) name += answer.reason;
+  if (answer.status == AnswerStatus::kRefused) name += ErrorKindText(answer.error);
+  ++this->counts[name + (answer.not_run ? "_not_run" : "")];
+  if (answer.not_run && ticket) {
+    this->not_run_tickets.insert(*ticket);
+    if (this->started_tickets.contains(*ticket)) {
+      this->faults.push_back(name + " answer says not run, but it ran: " + ticket->Text());
+    }
+  }
+  if (answer.status != AnswerStatus::kComplete) {
+    if (!answer.results.empty()) this->faults.push_back("results in a failed answer");
+    return;
+  }
+  if (!ticket || answer.results.size() != submission.tasks.size()) {
+    this->faults.push_back("complete answer without every result");
+    return;
+  }
+  for (std::uint32_t i = 0; i < submission.tasks.size(); ++i) {
+    const TaskKey task{*ticket, i};
+    if (answer.results[i] != ExpectedResult(task, submission.tasks[i].payload) ||
+        this->finished[task] != answer.results[i]) {
+      this->faults.push_back("wrong result of " + task.Text());
+    }
+  }
+}
+
+std::string Simulation::AnyEntry() {
+  return "entry" + std::to_string(this->random() % this->settings.entries);
+}
+
+std::string Simulation::AnyAgent() {
+  return "agent" + std::to_string(this->random() % this->settings.agents);
+}
+
+void Simulation::SubmitTo(const std::string& address, const std::shared_ptr<Work>& work) {
+  Process& process = this->processes[address];
+  if (!process.alive) {
+    return;
+  }
+  const RequestId id = this->next_request++;
+  this->requests[id] = {address, process.generation, work, false, false};
+  ++work->attempts;
+  this->InProcess(address, process.generation, [this, id, work](Process& to) {
+    if (!this->requests[id].gone) {
+      this->HandleEntry(to, JobSubmitted{id, work->submission});
+    }
+  });
+  const Milliseconds patience = this->Between(5, 4000);
+  this->After(patience, [this, id, work] {
+    Request& request = this->requests[id];
+    const bool broken = !this->processes[request.process].alive ||
+                        this->processes[request.process].generation != request.generation;
+    if (!request.answered && (broken || this->Chance(0.5))) {
+      request.gone = true;
+      this->InProcess(request.process, request.generation,
+                      [this, id](Process& to) { this->HandleEntry(to, CallerGone{id}); });
+      this->Resubmit(work);
+    } else if (this->Chance(0.1)) {
+      this->Resubmit(work);
+    }
+  });
+}
+
+void Simulation::Resubmit(std::shared_ptr<Work> work) {
+  if (work->attempts >= 4 || !this->faulty) {
+    return;
+  }
+  if (this->Chance(0.03)) {
+    auto other = std::make_shared<Work>(*work);
+    other->submission.body_hash += 1;
+    other->attempts = 4;
+    this->SubmitTo(this->AnyEntry(), other);
+  }
+  if (this->Chance(0.1) && work->submission.ticket) {
+    const std::string address = this->AnyEntry();
+    this->InProcess(address, this->processes[address].generation,
+                    [this, ticket = *work->submission.ticket](Process& to) {
+                      this->HandleEntry(to, JobCancelled{this->next_request++, ticket});
+                    });
+  }
+  this->SubmitTo(this->AnyEntry(), work);
+}
+
+void Simulation::SubmitNewJob() {
+  const std::string address = this->AnyEntry();
+  Process& process = this->processes[address];
+  this->InProcess(address, process.generation, [this](Process& to) {
+    this->HandleEntry(to, TicketsRequested{this->next_request++, kService, 1});
+  });
+  auto work = std::make_shared<Work>();
+  Submission& submission = work->submission;
+  submission.service = kService;
+  submission.kind = this->Chance(0.5) ? "quote" : "check";
+  submission.deadline = this->Chance(0.2) ? this->Between(10, 300) : this->Between(300, 3000);
+  const std::uint64_t number = this->next_job++;
+  submission.body_hash = number * 10;
+  const int count = this->Between(1, 6).count();
+  for (int i = 0; i < count; ++i) {
+    TaskSpec task;
+    task.payload = std::to_string(number) + "." + std::to_string(i);
+    submission.tasks.push_back(task);
+  }
+  if (this->Chance(0.1)) {
+    submission.key = "key" + std::to_string(number);
+  } else if (!this->tickets.empty()) {
+    std::swap(this->tickets[this->random() % this->tickets.size()], this->tickets.back());
+    submission.ticket = this->tickets.back();
+    this->tickets.pop_back();
+  } else {
+    return;
+  }
+  this->SubmitTo(this->Chance(0.7) ? address : this->AnyEntry(), work);
+}
+
+void Simulation::Fault() {
+  const bool hit_entry = this->Chance(0.4);
+  const std::string address = hit_entry ? this->AnyEntry() : this->AnyAgent();
+  Process& process = this->processes[address];
+  const int what = static_cast<int>(this->random() % 10);
+  if (!process.alive) {
+    return;
+  }
+  if (what < 2) {
+    ++this->counts["killed"];
+    process.alive = false;
+    this->After(this->Between(10, 6000),
+                [this, address, hit_entry] { this->StartProcess(address, hit_entry); });
+  } else if (what < 5) {
+    ++this->counts["frozen"];
+    process.frozen_until = this->now + this->Between(50, 6000);
+  } else if (what < 6) {
+    if (!std::exchange(process.leaving, true)) {
+      ++this->counts["left"];
+      this->InProcess(address, process.generation, [this](Process& to) {
+        if (to.entry) {
+          this->HandleEntry(to, LeaveRequested{});
+        } else {
+          this->HandleAgent(to, LeaveRequested{});
+        }
+      });
+    }
+  } else {
+    const std::string other = this->Chance(0.5) ? this->AnyEntry() : this->AnyAgent();
+    this->cut.insert({address, other});
+    if (this->Chance(0.5)) this->cut.insert({other, address});
+    this->After(this->Between(50, 4000), [this, address, other] {
+      this->cut.erase({address, other});
+      this->cut.erase({other, address});
+    });
+  }
+}
+
+void Simulation::Run(Milliseconds faulty_time, Milliseconds quiet) {
+  const Time faulty_end = this->now + faulty_time;
+  const Time end = faulty_end + quiet;
+  std::function<void()> job = [&] {
+    if (this->now < faulty_end) {
+      this->SubmitNewJob();
+      this->After(this->settings.job_pause, job);
+    }
+  };
+  std::function<void()> fault = [&] {
+    if (this->now < faulty_end) {
+      this->Fault();
+      this->After(this->Between(1, 2 * static_cast<int>(this->settings.fault_pause.count())),
+                  fault);
+    }
+  };
+  this->After(Milliseconds(500), job);
+  if (this->settings.fault_pause.count() > 0) {
+    this->After(Milliseconds(500), fault);
+  }
+  while (!this->steps.empty() && this->steps.top().time < end && this->faults.size() < 20) {
+    const Step step = this->steps.top();
+    this->steps.pop();
+    this->now = step.time;
+    if (this->now >= faulty_end) {
+      this->faulty = false;
+    }
+    step.action();
+  }
+}
+
+void Simulation::CheckQuiet() {
+  for (const auto& [id, request] : this->requests) {
+    const Process& process = this->processes[request.process];
+    if (!request.answered && !request.gone && process.alive &&
+        process.generation == request.generation) {
+      this->faults.push_back("request without an answer: " + std::to_string(id) + " at " +
+                             request.process);
+    }
+  }
+  for (const auto& [address, process] : this->processes) {
+    if (!process.alive || !process.entry) {
+      continue;
+    }
+    for (const ServiceStatus& service : process.entry->Status(this->now).services) {
+      if (service.jobs_in_progress != 0 || service.queued_tasks != 0) {
+        this->faults.push_back(address + " has jobs left");
+      }
+      for (const AgentStatus& agent : service.agents) {
+        if (agent.outstanding != 0) {
+          this->faults.push_back(address + " counts tasks at " + agent.name);
+        }
+      }
+    }
+  }
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/core/simulation.h
@@ -0,0 +1,139 @@
+/// Entries, agents, endpoints and callers on a simulated faulty network, driven by one seed.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/agent_core.h"
+#include "core/entry_core.h"
+
+namespace quetzalvale {
+
+struct SimulationSettings {
+  int entries = 3;
+  int agents = 4;
+  double lost = 0.02;
+  double repeated = 0.02;
+  double slow = 0.02;
+  /// Mean pause between faults of processes; zero means none.
+  Milliseconds fault_pause{400};
+  Milliseconds job_pause{4};
+  double task_fails = 0.01;
+};
+
+/// Records every violation of the guarantees in Faults().
+class Simulation {
+ public:
+  Simulation(std::uint64_t seed, SimulationSettings settings);
+
+  /// Runs with faults for the time, then without until all requests can have been answered.
+  void Run(Milliseconds faulty, Milliseconds quiet);
+
+  const std::vector<std::string>& Faults() const { return this->faults; }
+  std::uint64_t Events() const { return this->events; }
+  std::uint64_t Count(const std::string& name) const {
+    const auto found = this->counts.find(name);
+    return found == this->counts.end() ? 0 : found->second;
+  }
+  const std::map<std::string, std::uint64_t>& Counts() const { return this->counts; }
+  /// Reports requests without an answer and tasks that an entry still counts as outstanding.
+  void CheckQuiet();
+
+ private:
+  struct Process {
+    std::string address;
+    std::uint64_t generation = 0;
+    bool alive = false;
+    Time frozen_until{};
+    std::unique_ptr<EntryCore> entry;
+    std::unique_ptr<AgentCore> agent;
+    EntryInfo info;
+    bool leaving = false;
+  };
+  struct Step {
+    Time time;
+    std::uint64_t order;
+    std::function<void()> action;
+    bool operator<(const Step& other) const {
+      return std::pair(this->time, this->order) > std::pair(other.time, other.order);
+    }
+  };
+  struct Work {
+    Submission submission;
+    int attempts = 0;
+  };
+  struct Request {
+    std::string process;
+    std::uint64_t generation = 0;
+    std::shared_ptr<Work> work;
+    bool answered = false;
+    bool gone = false;
+  };
+  using Reply = std::function<void(const std::function<EntryEvent()>&)>;
+
+  bool Chance(double probability);
+  Milliseconds Between(int low, int high);
+  Microseconds NetworkDelay();
+  void At(Time time, std::function<void()> action);
+  void After(Time::duration delay, std::function<void()> action);
+  /// Runs the action in the process when it is not frozen; drops it when the process has died.
+  void InProcess(const std::string& address, std::uint64_t generation,
+                 std::function<void(Process&)> action);
+
+  void StartProcess(const std::string& address, bool is_entry);
+  void TickProcess(const std::string& address, std::uint64_t generation);
+  void HandleEntry(Process& process, const EntryEvent& event);
+  void HandleAgent(Process& process, const AgentEvent& event);
+  void Perform(Process& process, const EntryAction& action);
+  void Perform(Process& process, const AgentAction& action);
+  void StartTask(Process& process, const StartOnEndpoint& start);
+  void OnAnswer(const AnswerCaller& answer);
+  void CheckAnswer(const Request& request, const Answer& answer);
+
+  /// One inner call: delivers the request, then the reply or an error to the sender.
+  template <typename ReplyMessage>
+  void Call(Process& from, const std::string& address,
+            std::function<void(Process&, RequestId)> deliver,
+            std::function<void(Process&, Result<ReplyMessage>)> done);
+  template <typename ReplyMessage>
+  void Answer_(RequestId request, const ReplyMessage& reply);
+
+  void SubmitNewJob();
+  void Resubmit(std::shared_ptr<Work> work);
+  void SubmitTo(const std::string& address, const std::shared_ptr<Work>& work);
+  void Fault();
+  std::string AnyEntry();
+  std::string AnyAgent();
+  std::shared_ptr<ServiceConfiguration> MakeConfiguration();
+
+  SimulationSettings settings;
+  Random random;
+  Time now{std::chrono::seconds(1000)};
+  std::uint64_t order = 0;
+  std::uint64_t next_request = 1;
+  std::uint64_t next_job = 1;
+  std::uint64_t next_incarnation = 1;
+  std::uint64_t events = 0;
+  bool faulty = true;
+  std::priority_queue<Step> steps;
+  std::map<std::string, Process> processes;
+  std::shared_ptr<const ServiceConfiguration> configuration;
+  std::map<RequestId, std::function<void(const void*)>> calls;
+  std::map<RequestId, Request> requests;
+  std::set<std::pair<std::string, std::string>> cut;
+  std::vector<Ticket> tickets;
+  std::map<std::string, Ticket> keys;
+  std::set<TaskKey> started;
+  std::set<Ticket> started_tickets;
+  std::set<Ticket> not_run_tickets;
+  std::map<TaskKey, std::string> finished;
+  std::vector<std::string> faults;
+  std::map<std::string, std::uint64_t> counts;
+};
+
+}  // namespace quetzalvale
