--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -30,3 +30,16 @@
 add_executable(quetzalvale-scenario src/scenario/main.cc)
 target_link_libraries(quetzalvale-scenario PRIVATE quetzalvale_scenario docopt)
 list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_scenario)
+
+# The platform, its stand-in and the entry.
+quetzalvale_library(http cpprest ssl crypto)
+quetzalvale_library(platform quetzalvale_http quetzalvale_protocol)
+add_library(quetzalvale_standin_platform STATIC src/standin/platform_delay.cc src/standin/platform_faults.cc
+            src/standin/platform_server.cc src/standin/platform_store.cc)
+target_link_libraries(quetzalvale_standin_platform PUBLIC quetzalvale_platform)
+add_executable(standin-platform src/standin/platform_main.cc)
+target_link_libraries(standin-platform PRIVATE quetzalvale_standin_platform docopt)
+
+quetzalvale_library(entry quetzalvale_platform quetzalvale_settings quetzalvale_protocol xxhash)
+add_executable(quetzalvale-entry src/entry/main.cc)
+target_link_libraries(quetzalvale-entry PRIVATE quetzalvale_entry docopt)
