--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -30,6 +30,8 @@
 add_executable(quetzalvale-scenario src/scenario/main.cc)
 target_link_libraries(quetzalvale-scenario PRIVATE quetzalvale_scenario docopt)
 list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_scenario)
+
+# The platform, its stand-in and the entry.
 quetzalvale_library(http cpprest ssl crypto)
 quetzalvale_library(platform quetzalvale_http quetzalvale_protocol)
 add_library(quetzalvale_standin_platform STATIC src/standin/platform_delay.cc src/standin/platform_faults.cc
