--- a/src/core/agent_directory.cc
+++ b/src/core/agent_directory.cc
@@ -196,8 +196,9 @@
   this->patterns[service] = service_patterns;
   for (auto& [incarnation, agent] : this->agents) {
     if (agent.announce.service == service) {
-      agent.bound = std::ranges::any_of(service_patterns, [&](const std::string& pattern) {
-        return MatchesPattern(agent.announce.name, pattern);
+      const std::string& name = agent.announce.name;
+      agent.bound = std::ranges::any_of(service_patterns, [&name](const std::string& pattern) {
+        return MatchesPattern(name, pattern);
       });
     }
   }
--- a/src/core/answer_store.h
+++ b/src/core/answer_store.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string>
 #include <unordered_map>
 #include <utility>
 
@@ -69,9 +70,10 @@
  private:
   static std::size_t Bytes(const Answer& answer) {
     constexpr std::size_t kFixed = 512;
+    constexpr std::size_t kPerResult = sizeof(std::string);
     std::size_t total = kFixed + answer.message.size() + answer.reason.size();
     for (const auto& result : answer.results) {
-      total += result.size() + sizeof(result);
+      total += result.size() + kPerResult;
     }
     return total;
   }
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -1,7 +1,6 @@
 /// Jobs that an entry has taken.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -9,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -24,7 +24,10 @@
   std::uint64_t job = 0;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskRef&) const = default;
+  bool operator==(const TaskRef&) const = default;
+  bool operator<(const TaskRef& other) const {
+    return std::tie(this->job, this->index) < std::tie(other.job, other.index);
+  }
 };
 
 enum class JobTaskState {
--- a/src/core/start_queue.h
+++ b/src/core/start_queue.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 
 #include "core/job_table.h"
@@ -20,7 +21,10 @@
     Time deadline{};
     TaskRef task;
 
-    auto operator<=>(const Item&) const = default;
+    bool operator<(const Item& other) const {
+      return std::tie(this->urgency, this->deadline, this->task) <
+             std::tie(other.urgency, other.deadline, other.task);
+    }
   };
 
   /// Adds a task that is not waiting yet.
