--- /dev/null
+++ b/tests/core/peer_table_test.cc
@@ -0,0 +1,118 @@
+#include "core/peer_table.h"
+
+#include <gtest/gtest.h>
+
+#include "core/answer_outbox.h"
+#include "core/forward_table.h"
+
+namespace quetzalvale {
+namespace {
+
+using std::chrono::seconds;
+
+const EntryInfo kSelf{{1, 1}, "self", "dc"};
+const EntryInfo kPeer{{1, 2}, "peer", "dc"};
+const Time kStart{seconds(100)};
+
+Hello MakeHello(std::uint64_t roster_number) {
+  Hello hello;
+  hello.entry = kPeer;
+  hello.roster_number = roster_number;
+  hello.roster = {{"s", {5, 1}, "a", 1, 0}, {"s", {5, 2}, "b", 2, 4}, {"s", {5, 3}, "c", 5, 0}};
+  return hello;
+}
+
+// The proof of "not run" needs every agent that the owner can have used, and no more.
+TEST(PeerTableTest, KnowsWhichAgentsATicketCanHaveUsed) {
+  PeerTable peers(kSelf, {});
+  peers.Hear(kPeer, kStart);
+  Hello hello = MakeHello(5);
+  hello.complete_from = 2;
+  peers.Read(hello, kStart);
+  const auto at = [&](std::uint64_t roster) {
+    return peers.RosterFor({"s", kPeer.incarnation, 1, roster});
+  };
+  EXPECT_FALSE(at(1).complete);
+  EXPECT_TRUE(at(3).complete);
+  EXPECT_EQ(at(3).agents.size(), 2U);
+  EXPECT_EQ(at(4).agents.size(), 1U);
+  EXPECT_TRUE(at(5).complete);
+  EXPECT_FALSE(at(6).complete);
+  EXPECT_FALSE(peers.RosterFor({"s", {9, 9}, 1, 1}).complete);
+}
+
+TEST(PeerTableTest, IgnoresTheRosterOfADelayedHello) {
+  PeerTable peers(kSelf, {});
+  peers.Hear(kPeer, kStart);
+  peers.Read(MakeHello(5), kStart);
+  peers.Read(MakeHello(4), kStart);
+  peers.Read(MakeHello(0), kStart);
+  EXPECT_EQ(peers.Find(kPeer.incarnation)->roster_number, 5U);
+}
+
+TEST(PeerTableTest, KeepsTheRosterOfAReplacedEntry) {
+  PeerTable peers(kSelf, {});
+  peers.Hear(kPeer, kStart);
+  peers.Read(MakeHello(5), kStart);
+  peers.Hear({{1, 3}, "peer", "dc"}, kStart);
+  EXPECT_FALSE(peers.IsAlive(kPeer.incarnation, seconds(10), kStart));
+  EXPECT_TRUE(peers.RosterFor({"s", kPeer.incarnation, 1, 5}).complete);
+  // A delayed hello of the old process must not take the address back.
+  EXPECT_EQ(peers.Hear(kPeer, kStart), nullptr);
+  EXPECT_TRUE(peers.IsAlive({1, 3}, seconds(10), kStart));
+}
+
+TEST(PeerTableTest, LeavesTheRosterOutOnlyOnceConfirmed) {
+  PeerTable peers(kSelf, {"peer"});
+  EXPECT_EQ(peers.TakeDue(seconds(1), kStart), (std::vector<std::string>{"peer"}));
+  EXPECT_TRUE(peers.TakeDue(seconds(1), kStart + seconds(2)).empty());
+  EXPECT_TRUE(peers.NeedsRoster("peer", 3, kStart));
+  peers.HelloSent("peer", 3, kStart);
+  peers.HearReply(kPeer, kStart);
+  peers.HelloDone("peer", &kPeer.incarnation, kStart);
+  EXPECT_TRUE(peers.NeedsRoster("peer", 4, kStart));
+  peers.TakeDue(seconds(1), kStart + seconds(1));
+  peers.HelloSent("peer", 4, kStart + seconds(1));
+  peers.HelloDone("peer", &kPeer.incarnation, kStart + seconds(1));
+  EXPECT_FALSE(peers.NeedsRoster("peer", 4, kStart + seconds(1)));
+  EXPECT_TRUE(peers.NeedsRoster("peer", 4, kStart + seconds(40)));
+}
+
+TEST(PeerTableTest, FollowsSuccessions) {
+  PeerTable peers(kSelf, {});
+  peers.AddSuccession({{9, 1}, {{9, 2}, "x", "dc"}}, true);
+  peers.AddSuccession({{9, 2}, kPeer}, true);
+  EXPECT_EQ(peers.FindSuccessor({9, 1}), kPeer);
+  EXPECT_EQ(peers.FindSuccessor({9, 3}), std::nullopt);
+}
+
+// An answer is repeated until its receiver has it, but not for ever.
+TEST(AnswerOutboxTest, RepeatsUntilAcknowledged) {
+  AnswerOutbox outbox;
+  outbox.Add(kPeer, 7, {}, kStart);
+  EXPECT_EQ(outbox.TakeDue(kStart).size(), 1U);
+  EXPECT_TRUE(outbox.TakeDue(kStart + seconds(1)).empty());
+  outbox.Retry(kPeer.incarnation, 7, kStart);
+  EXPECT_EQ(outbox.TakeDue(kStart + seconds(1)).size(), 1U);
+  outbox.Done(kPeer.incarnation, 7);
+  EXPECT_TRUE(outbox.IsEmpty());
+  outbox.Add(kPeer, 8, {}, kStart);
+  EXPECT_TRUE(outbox.TakeDue(kStart + seconds(60)).empty());
+  EXPECT_TRUE(outbox.IsEmpty());
+}
+
+TEST(ForwardTableTest, RepeatsWithABackoff) {
+  ForwardTable forwards;
+  Forward& forward = *forwards.Add(1, {}, kStart + seconds(9), kStart);
+  EXPECT_EQ(forwards.Open(kStart).size(), 1U);
+  forwards.Sent(forward, kPeer.incarnation, kStart);
+  EXPECT_TRUE(forwards.Open(kStart + seconds(1)).empty());
+  forwards.Retry(forward, kStart);
+  EXPECT_TRUE(forwards.Open(kStart + Milliseconds(99)).empty());
+  EXPECT_EQ(forwards.Open(kStart + Milliseconds(100)).size(), 1U);
+  EXPECT_TRUE(forwards.Take(1));
+  EXPECT_TRUE(forwards.IsEmpty());
+}
+
+}  // namespace
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/core/salvage_test.cc
@@ -0,0 +1,124 @@
+#include "core/salvage.h"
+
+#include <gtest/gtest.h>
+
+namespace quetzalvale {
+namespace {
+
+const Ticket kTicket{"s", {1, 1}, 5, 3};
+constexpr Incarnation kFirst{2, 1};
+constexpr Incarnation kSecond{2, 2};
+const Time kStart{std::chrono::seconds(100)};
+
+Salvage MakeSalvage(bool complete, std::size_t tasks = 2) {
+  return {kTicket,
+          tasks,
+          {{kFirst, "a"}, {kSecond, "b"}},
+          complete,
+          {kStart + Milliseconds(1000), kStart + Milliseconds(5000)}};
+}
+
+SealReply Sealed(const Incarnation& agent) {
+  SealReply reply;
+  reply.agent = agent;
+  return reply;
+}
+
+TaskReport Report(std::uint32_t index, TaskStatus status, bool ok = true) {
+  TaskReport report{{kTicket, index}, status, std::nullopt};
+  if (status == TaskStatus::kFinished) {
+    report.outcome = Outcome{{kTicket, index}, ok, ok ? "" : "bad", std::to_string(index), {}};
+  }
+  return report;
+}
+
+TEST(SalvageTest, CompletesFromOutcomesAtSeveralAgents) {
+  Salvage salvage = MakeSalvage(false);
+  EXPECT_EQ(salvage.TakeDue(kStart).size(), 2U);
+  SealReply reply = Sealed(kFirst);
+  reply.reports = {Report(1, TaskStatus::kFinished)};
+  salvage.OnReply(kFirst, reply, kStart);
+  EXPECT_FALSE(salvage.Conclude(kStart));
+  reply = Sealed(kSecond);
+  reply.reports = {Report(0, TaskStatus::kFinished)};
+  salvage.OnReply(kSecond, reply, kStart);
+  const auto answer = salvage.Conclude(kStart);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, AnswerStatus::kComplete);
+  EXPECT_EQ(answer->results, (std::vector<std::string>{"0", "1"}));
+}
+
+TEST(SalvageTest, SaysNotRunOnlyWhenEveryAgentSealedAndNothingWasRecorded) {
+  Salvage salvage = MakeSalvage(true);
+  salvage.OnReply(kFirst, Sealed(kFirst), kStart);
+  EXPECT_FALSE(salvage.Conclude(kStart));
+  salvage.OnReply(kSecond, Sealed(kSecond), kStart);
+  EXPECT_TRUE(salvage.Conclude(kStart)->not_run);
+}
+
+// Each case below lacks one piece of the proof; "not run" would let a caller run the job twice.
+TEST(SalvageTest, DoesNotSayNotRunWithoutProof) {
+  Salvage unknown_roster = MakeSalvage(false);
+  unknown_roster.OnReply(kFirst, Sealed(kFirst), kStart);
+  unknown_roster.OnReply(kSecond, Sealed(kSecond), kStart);
+  EXPECT_FALSE(unknown_roster.Conclude(kStart)->not_run);
+
+  Salvage silent = MakeSalvage(true);
+  silent.OnReply(kFirst, Sealed(kFirst), kStart);
+  EXPECT_FALSE(silent.Conclude(kStart + Milliseconds(999)));
+  EXPECT_FALSE(silent.Conclude(kStart + Milliseconds(1000))->not_run);
+
+  Salvage forgotten = MakeSalvage(true);
+  SealReply maybe = Sealed(kFirst);
+  maybe.maybe_started = true;
+  forgotten.OnReply(kFirst, maybe, kStart);
+  forgotten.OnReply(kSecond, Sealed(kSecond), kStart);
+  EXPECT_FALSE(forgotten.Conclude(kStart)->not_run);
+
+  Salvage replaced = MakeSalvage(true);
+  replaced.OnReply(kFirst, Sealed({9, 9}), kStart);
+  replaced.OnReply(kSecond, Sealed(kSecond), kStart);
+  EXPECT_FALSE(replaced.Conclude(kStart)->not_run);
+
+  Salvage partial = MakeSalvage(true);
+  SealReply one = Sealed(kFirst);
+  one.reports = {Report(0, TaskStatus::kFinished)};
+  partial.OnReply(kFirst, one, kStart);
+  partial.OnReply(kSecond, Sealed(kSecond), kStart);
+  EXPECT_EQ(partial.Conclude(kStart)->reason, "outcome_unknown");
+}
+
+// Outcomes of tasks that run while the owner is gone must still reach the caller.
+TEST(SalvageTest, PollsRunningTasksUntilTheDeadline) {
+  Salvage salvage = MakeSalvage(true, 1);
+  salvage.TakeDue(kStart);
+  salvage.OnReply(kSecond, Sealed(kSecond), kStart);
+  SealReply reply = Sealed(kFirst);
+  reply.reports = {Report(0, TaskStatus::kRunning)};
+  salvage.OnReply(kFirst, reply, kStart);
+  EXPECT_FALSE(salvage.Conclude(kStart + Milliseconds(4999)));
+  EXPECT_TRUE(salvage.TakeDue(kStart).empty());
+  EXPECT_EQ(salvage.TakeDue(kStart + Milliseconds(500)).size(), 1U);
+  reply.reports = {Report(0, TaskStatus::kFinished)};
+  salvage.OnReply(kFirst, reply, kStart + Milliseconds(600));
+  EXPECT_EQ(salvage.Conclude(kStart + Milliseconds(600))->status, AnswerStatus::kComplete);
+}
+
+TEST(SalvageTest, RepeatsLostSealsWithABackoff) {
+  Salvage salvage = MakeSalvage(true);
+  salvage.TakeDue(kStart);
+  salvage.OnReply(kFirst, Error{ErrorKind::kTimeout, ""}, kStart);
+  EXPECT_TRUE(salvage.TakeDue(kStart + Milliseconds(50)).empty());
+  EXPECT_EQ(salvage.TakeDue(kStart + Milliseconds(100)).size(), 1U);
+}
+
+TEST(SalvageTest, ReportsTheTaskThatFailed) {
+  Salvage salvage = MakeSalvage(true);
+  SealReply reply = Sealed(kFirst);
+  reply.reports = {Report(1, TaskStatus::kFinished, false)};
+  salvage.OnReply(kFirst, reply, kStart);
+  EXPECT_EQ(salvage.Conclude(kStart)->reason, "task_failed");
+}
+
+}  // namespace
+}  // namespace quetzalvale
