--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -18,8 +18,9 @@
 constexpr std::size_t kMaxBodyBytes = 4096;
 
 AgentIdentity MakeIdentity(const ProcessSettings& settings) {
-  AgentIdentity identity{DrawIncarnation(),    settings.name,          settings.services.at(0),
-                         settings.data_centre, settings.inner_address, settings.worker};
+  AgentIdentity identity{DrawIncarnation(),           settings.name,
+                         settings.services.at(0),     settings.data_centre,
+                         settings.advertised_address, settings.worker};
   // Every running task holds a connection.
   identity.worker.slots = std::min(identity.worker.slots, identity.worker.connections);
   return identity;
@@ -60,7 +61,8 @@
   this->thread.Start();
   Log(LogLevel::kInfo, 2000, "agent_started",
       "name=" + this->identity.name + " incarnation=" + this->identity.incarnation.Text() +
-          " inner_address=" + this->identity.address + " endpoint=" + this->settings.endpoint);
+          " inner_address=" + this->settings.inner_address +
+          " endpoint=" + this->settings.endpoint);
   return "";
 }
 
--- a/tests/agent_program/agent_process_test.cc
+++ b/tests/agent_program/agent_process_test.cc
@@ -63,6 +63,7 @@
     settings.name = "a";
     settings.services = {"s"};
     settings.inner_address = this->agent_address;
+    settings.advertised_address = this->agent_address;
     settings.caller_address = this->http_address;
     settings.entries = {this->entry_address};
     settings.endpoint = "http://" + this->endpoint_address;
