--- a/src/entry/admin_api.cc
+++ b/src/entry/admin_api.cc
@@ -185,7 +185,7 @@
   this->parts.book.Offer(change.service, {std::get<std::uint64_t>(version), change.document},
                          "change " + change.change_id);
   Json::Value json;
-  json["version"] = Json::UInt64(std::get<std::uint64_t>(version));
+  json["version"] = static_cast<Json::UInt64>(std::get<std::uint64_t>(version));
   return {200, WriteJson(json)};
 }
 
@@ -199,7 +199,7 @@
     json["version"] = 0;
     json["document"] = Json::Value();
     if (const auto& found = std::get<std::optional<StoredDocument>>(stored)) {
-      json["version"] = Json::UInt64(found->version);
+      json["version"] = static_cast<Json::UInt64>(found->version);
       json["document"] = found->document;
     }
     return HttpResponse{200, WriteJson(json)};
--- a/src/entry/inner_api.cc
+++ b/src/entry/inner_api.cc
@@ -74,7 +74,7 @@
   }
   const auto stored = this->book.Document(parameters["service"].asString());
   Json::Value json;
-  json["version"] = Json::UInt64(stored ? stored->version : 0);
+  json["version"] = static_cast<Json::UInt64>(stored ? stored->version : 0);
   json["document"] = stored ? stored->document : Json::Value();
   return json;
 }
--- a/src/entry/status_json.cc
+++ b/src/entry/status_json.cc
@@ -10,7 +10,7 @@
   json["name"] = agent.name;
   json["incarnation"] = agent.incarnation.Text();
   json["address"] = agent.address;
-  json["outstanding"] = Json::UInt64(agent.outstanding);
+  json["outstanding"] = static_cast<Json::UInt64>(agent.outstanding);
   json["leaving"] = agent.leaving;
   json["ejected"] = agent.ejected;
   json["lost"] = agent.lost;
@@ -20,9 +20,9 @@
 Json::Value RenderService(const ServiceStatus& service) {
   Json::Value json;
   json["service"] = service.service;
-  json["configuration_version"] = Json::UInt64(service.configuration_version);
-  json["queued_tasks"] = Json::UInt64(service.queued_tasks);
-  json["jobs_in_progress"] = Json::UInt64(service.jobs_in_progress);
+  json["configuration_version"] = static_cast<Json::UInt64>(service.configuration_version);
+  json["queued_tasks"] = static_cast<Json::UInt64>(service.queued_tasks);
+  json["jobs_in_progress"] = static_cast<Json::UInt64>(service.jobs_in_progress);
   json["agents"] = Json::Value(Json::arrayValue);
   for (const auto& agent : service.agents) {
     json["agents"].append(RenderAgent(agent));
@@ -36,7 +36,7 @@
   Json::Value json;
   json["entry"] = Encode(status.self);
   json["leaving"] = status.leaving;
-  json["roster_number"] = Json::UInt64(status.roster_number);
+  json["roster_number"] = static_cast<Json::UInt64>(status.roster_number);
   json["services"] = Json::Value(Json::arrayValue);
   for (const auto& service : status.services) {
     json["services"].append(RenderService(service));
--- a/src/platform/configuration_store.cc
+++ b/src/platform/configuration_store.cc
@@ -61,14 +61,14 @@
     const ConfigurationChange& change) const {
   Json::Value audit;
   audit["service"] = change.service;
-  audit["version"] = Json::UInt64(change.base_version + 1);
+  audit["version"] = static_cast<Json::UInt64>(change.base_version + 1);
   audit["holder"] = change.holder;
   audit["change_id"] = change.change_id;
   audit["summary"] = change.summary;
   audit["document_hash"] = DocumentHash(change.document);
-  audit["time_ms"] = Json::Int64(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                     this->clock.WallNow().time_since_epoch())
-                                     .count());
+  audit["time_ms"] = static_cast<Json::Int64>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                  this->clock.WallNow().time_since_epoch())
+                                                  .count());
   return {{kTable, change.service, change.document, change.base_version},
           {kAuditTable, AuditKey(change.service, change.base_version + 1), std::move(audit), 0}};
 }
--- a/src/platform/http_table_client.cc
+++ b/src/platform/http_table_client.cc
@@ -18,7 +18,7 @@
     json["key"] = operation.key;
     json["value"] = operation.value;
     if (operation.expected_version) {
-      json["expected_version"] = Json::UInt64(*operation.expected_version);
+      json["expected_version"] = static_cast<Json::UInt64>(*operation.expected_version);
     }
     list.append(std::move(json));
   }
--- a/src/standin/platform_faults.cc
+++ b/src/standin/platform_faults.cc
@@ -13,13 +13,13 @@
 constexpr double kMaxSetting = 1e9;
 
 bool IsValid(const std::string& name, const Json::Value& value) {
-  static const std::set<std::string> kNumbers{"read_latency_ms", "write_latency_ms",
-                                              "writes_per_second", "reads_per_second",
-                                              "lose_answers"};
+  static const std::set<std::string> numbers{"read_latency_ms", "write_latency_ms",
+                                             "writes_per_second", "reads_per_second",
+                                             "lose_answers"};
   if (name == "outage") {
     return value.isBool();
   }
-  return kNumbers.contains(name) && value.isNumeric() && value.asDouble() >= 0 &&
+  return numbers.contains(name) && value.isNumeric() && value.asDouble() >= 0 &&
          value.asDouble() <= kMaxSetting;
 }
 
@@ -79,11 +79,11 @@
   const std::lock_guard lock(this->mutex);
   Json::Value settings;
   settings["outage"] = this->outage;
-  settings["read_latency_ms"] = Json::Int64(this->read_latency.count());
-  settings["write_latency_ms"] = Json::Int64(this->write_latency.count());
+  settings["read_latency_ms"] = static_cast<Json::Int64>(this->read_latency.count());
+  settings["write_latency_ms"] = static_cast<Json::Int64>(this->write_latency.count());
   settings["writes_per_second"] = this->writes.Rate();
   settings["reads_per_second"] = this->reads.Rate();
-  settings["lose_answers"] = Json::UInt64(this->lose_answers);
+  settings["lose_answers"] = static_cast<Json::UInt64>(this->lose_answers);
   return settings;
 }
 
@@ -100,10 +100,13 @@
   const std::lock_guard lock(this->mutex);
   this->outage = settings.get("outage", this->outage).asBool();
   this->read_latency = std::chrono::milliseconds(
-      settings.get("read_latency_ms", Json::Int64(this->read_latency.count())).asInt64());
+      settings.get("read_latency_ms", static_cast<Json::Int64>(this->read_latency.count()))
+          .asInt64());
   this->write_latency = std::chrono::milliseconds(
-      settings.get("write_latency_ms", Json::Int64(this->write_latency.count())).asInt64());
-  this->lose_answers = settings.get("lose_answers", Json::UInt64(this->lose_answers)).asUInt64();
+      settings.get("write_latency_ms", static_cast<Json::Int64>(this->write_latency.count()))
+          .asInt64());
+  this->lose_answers =
+      settings.get("lose_answers", static_cast<Json::UInt64>(this->lose_answers)).asUInt64();
   if (settings.isMember("writes_per_second")) {
     this->writes.SetRate(settings["writes_per_second"].asDouble());
   }
--- a/src/standin/platform_server.cc
+++ b/src/standin/platform_server.cc
@@ -24,7 +24,7 @@
 Json::Value EncodeRow(const TableRow& row) {
   Json::Value json;
   json["key"] = row.key;
-  json["version"] = Json::UInt64(row.version);
+  json["version"] = static_cast<Json::UInt64>(row.version);
   json["value"] = row.value;
   return json;
 }
@@ -134,12 +134,12 @@
   if (const auto* conflict = std::get_if<PlatformStore::Conflict>(&result)) {
     json["table"] = conflict->table;
     json["key"] = conflict->key;
-    json["version"] = Json::UInt64(conflict->version);
+    json["version"] = static_cast<Json::UInt64>(conflict->version);
     return {409, WriteJson(json)};
   }
   json["versions"] = Json::Value(Json::arrayValue);
   for (const auto version : std::get<0>(result)) {
-    json["versions"].append(Json::UInt64(version));
+    json["versions"].append(static_cast<Json::UInt64>(version));
   }
   return {200, WriteJson(json)};
 }
