--- /dev/null
+++ b/src/core/entry_core_starts.cc
@@ -0,0 +1,245 @@
+// Placement of waiting tasks.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/entry_core.h"
+
+namespace quetzalvale {
+namespace {
+
+/// Tasks that the policy leaves waiting, or that no free agent may take, before a round ends.
+constexpr std::uint32_t kMaxDeclined = 64;
+
+/// Placements repeated in spite of an empty retry budget, so that a job of refused tasks does not
+/// wait for other jobs to earn one.
+constexpr Milliseconds kTricklePause{200};
+
+/// A report that says "full" is believed for this part of the heartbeat when the objective is
+/// response time: the tasks of other entries end without a word to this one.
+constexpr int kStalePart = 10;
+
+bool Contains(const std::vector<Incarnation>& agents, const Incarnation& agent) {
+  return std::ranges::find(agents, agent) != agents.end();
+}
+
+bool Fits(const TaskSpec& spec, const WorkerCapacity& worker) {
+  return (worker.cores <= 0 || spec.cores <= worker.cores) &&
+         (worker.memory_mb <= 0 || spec.memory_mb <= worker.memory_mb) &&
+         spec.accelerators <= std::max(0, worker.accelerators);
+}
+
+}  // namespace
+
+bool EntryCore::HasRoom(const ServiceState& service, const Agent& agent) const {
+  const auto& configuration = *service.configuration;
+  const int own = static_cast<int>(agent.outstanding.size());
+  const int queue = static_cast<int>(configuration.agent_queue);
+  if (own >= agent.announce.worker.slots + queue) {
+    return false;
+  }
+  if (agent.FreeSlots() > 0 || agent.Queued() < queue) {
+    return true;
+  }
+  const Milliseconds believed = configuration.objective == Objective::kMessages
+                                    ? configuration.health.heartbeat
+                                    : configuration.health.heartbeat / kStalePart;
+  return own == 0 && this->now - agent.load_at >= believed;
+}
+
+bool EntryCore::MakeUsable(ServiceState& service, Agent& agent, Usable& usable) {
+  if (!agent.member || agent.leaving || this->IsLost(agent) || this->now < agent.paused_until ||
+      !this->HasRoom(service, agent)) {
+    return false;
+  }
+  const std::string& name = agent.announce.name;
+  usable.probe = !service.health.IsAvailable(name);
+  if (usable.probe && (!agent.outstanding.empty() || !service.health.MayProbe(name, this->now))) {
+    return false;
+  }
+  usable.agent = &agent;
+  Candidate& candidate = usable.candidate;
+  candidate.agent = agent.announce.agent;
+  candidate.name = name;
+  candidate.slots = agent.announce.worker.slots;
+  candidate.own_outstanding = static_cast<int>(agent.outstanding.size());
+  candidate.free_slots = agent.FreeSlots();
+  candidate.queued = agent.Queued();
+  const int queue = static_cast<int>(service.configuration->agent_queue);
+  if (candidate.free_slots == 0 && candidate.queued >= queue) {
+    // The report is old, so one task finds out.
+    candidate.free_slots = 1;
+    candidate.queued = 0;
+  }
+  candidate.speed = service.model.Speed(name);
+  candidate.same_data_centre = agent.announce.data_centre == this->self.data_centre;
+  return true;
+}
+
+std::vector<EntryCore::Usable> EntryCore::UsableAgents(ServiceState& service) {
+  std::vector<Usable> usable;
+  for (auto& [incarnation, agent] : this->directory.Agents()) {
+    Usable entry;
+    if (agent.announce.service == service.name && this->MakeUsable(service, agent, entry)) {
+      usable.push_back(entry);
+    }
+  }
+  return usable;
+}
+
+void EntryCore::PlaceTasks(ServiceState& service) {
+  if (service.queue.Size() == 0) {
+    return;
+  }
+  std::vector<Usable> usable = this->UsableAgents(service);
+  std::uint32_t declined = 0;
+  const auto& items = service.queue.Items();
+  for (auto next = items.begin(); next != items.end() && !usable.empty();) {
+    // Placing the task takes it out of the queue.
+    const StartQueue::Item item = *next++;
+    Job& job = *this->jobs.Find(item.task.job);
+    if (item.deadline <= this->now ||
+        this->Place(service, job, item.task.index, usable, declined)) {
+      continue;
+    }
+    if (++declined >= kMaxDeclined) {
+      return;
+    }
+  }
+}
+
+bool EntryCore::Place(ServiceState& service, Job& job, std::uint32_t index,
+                      std::vector<Usable>& usable, std::uint32_t waiting_ahead) {
+  const Task& task = job.tasks[index];
+  std::vector<std::size_t> positions;
+  std::vector<Candidate> candidates;
+  std::optional<std::size_t> chosen;
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    const Agent& agent = *usable[i].agent;
+    if (agent.first_roster > job.ticket.roster || !Fits(task.spec, agent.announce.worker) ||
+        Contains(job.excluded, agent.announce.agent) ||
+        Contains(task.excluded, agent.announce.agent)) {
+      continue;
+    }
+    if (usable[i].probe) {
+      chosen = i;
+      break;
+    }
+    Candidate candidate = usable[i].candidate;
+    if (candidate.free_slots <= 0) {
+      // On average half a run is left in the slot that frees itself next.
+      const double runs = (0.5 + candidate.queued) / std::max(1, candidate.slots);
+      candidate.expected_wait = Microseconds(static_cast<std::int64_t>(
+          runs * static_cast<double>(task.expected.count()) / std::max(candidate.speed, 0.01)));
+    }
+    positions.push_back(i);
+    candidates.push_back(candidate);
+  }
+  if (!chosen && !candidates.empty()) {
+    PlacementQuery query;
+    query.expected = task.expected;
+    query.time_left = std::chrono::duration_cast<Microseconds>(job.deadline - this->now);
+    query.waiting_ahead = waiting_ahead;
+    const PlacementHook& hook =
+        this->placement_override ? this->placement_override : service.placement;
+    const auto position = hook(candidates, query, this->random);
+    if (position && *position < positions.size()) {
+      chosen = positions[*position];
+    }
+  }
+  if (!chosen || !this->MayRetry(service, task)) {
+    return false;
+  }
+  this->Assign(service, job, index, usable[*chosen]);
+  Usable again;
+  if (this->MakeUsable(service, *usable[*chosen].agent, again)) {
+    usable[*chosen] = again;
+  } else {
+    usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(*chosen));
+  }
+  return true;
+}
+
+bool EntryCore::MayRetry(ServiceState& service, const Task& task) {
+  if (task.refusals == 0) {
+    return true;
+  }
+  if (service.retry_budget.TrySpend()) {
+    return true;
+  }
+  if (this->now < service.next_trickle) {
+    return false;
+  }
+  service.next_trickle = this->now + kTricklePause;
+  return true;
+}
+
+void EntryCore::Assign(ServiceState& service, Job& job, std::uint32_t index, Usable& usable) {
+  Task& task = job.tasks[index];
+  Agent& agent = *usable.agent;
+  const TaskRef ref{job.id, index};
+  service.queue.Remove(ref);
+  if (task.refusals == 0) {
+    service.retry_budget.Earn();
+  } else {
+    ++this->counters.retries;
+  }
+  if (usable.probe) {
+    service.health.ProbeSent(agent.announce.name, this->now);
+  }
+  task.state = JobTaskState::kBatched;
+  task.agent = agent.announce.agent;
+  task.channel_sequence = 0;
+  task.runs = false;
+  agent.outstanding[ref] = task.expected;
+  ++agent.unreported;
+  const auto& configuration = *service.configuration;
+  const Microseconds delay = configuration.objective == Objective::kMessages
+                                 ? configuration.batching.start_delay
+                                 : Microseconds{0};
+  this->batcher.Add(task.agent, ref, this->now, delay, configuration.batching.batch_tasks);
+}
+
+void EntryCore::SendStarts() {
+  for (const StartBatcher::Batch& batch : this->batcher.TakeDue(this->now)) {
+    this->SendBatch(batch);
+  }
+}
+
+void EntryCore::SendBatch(const StartBatcher::Batch& batch) {
+  // Agents that go take their tasks out of the batcher first.
+  Agent& agent = *this->directory.Find(batch.agent);
+  const ServiceState& service = *this->FindService(agent.announce.service);
+  StartRequest request;
+  request.owner = this->self.incarnation;
+  request.owner_address = this->self.address;
+  request.agent = batch.agent;
+  request.lease = service.configuration->lease;
+  request.configuration_version = service.configuration->version;
+  std::vector<TaskRef> sent;
+  for (const TaskRef& ref : batch.tasks) {
+    Job& job = *this->jobs.Find(ref.job);
+    const Task& task = job.tasks[ref.index];
+    const auto left = std::chrono::duration_cast<Milliseconds>(job.deadline - this->now);
+    if (left.count() < 1) {
+      this->DropTask(job, ref.index);
+      continue;
+    }
+    request.items.push_back({{job.ticket, ref.index}, job.kind, task.spec, left});
+    sent.push_back(ref);
+  }
+  if (sent.empty()) {
+    return;
+  }
+  request.channel_sequence = this->directory.NextChannelSequence(agent);
+  for (const TaskRef& ref : sent) {
+    Task& task = this->jobs.Find(ref.job)->tasks[ref.index];
+    task.state = JobTaskState::kSent;
+    task.channel_sequence = request.channel_sequence;
+  }
+  this->counters.tasks_started += sent.size();
+  agent.starts[request.channel_sequence] = std::move(sent);
+  this->Do(SendStart{agent.announce.address, std::move(request)});
+}
+
+}  // namespace quetzalvale
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -28,7 +28,7 @@
 EntryProcess::EntryProcess(ProcessSettings settings, std::function<void()> leave_requested)
     : settings(std::move(settings)),
       leave_requested(std::move(leave_requested)),
-      self{DrawIncarnation(), this->settings.inner_address, this->settings.data_centre},
+      self{DrawIncarnation(), this->settings.advertised_address, this->settings.data_centre},
       administrators(this->settings.administrators),
       table(this->settings.platform, kPlatformTimeout),
       store(table, clock, kChangePatience),
