Count useful messages and ask peers for newer configurations only

While the platform was out, every entry asked all peers for every document each second. It now asks only when a peer reports a newer version or none is known.

/metrics has the core's counters, messages sent and useful, CPU time, resident memory and the time that the entry adds to starts and answers. A departing entry marks its responses as the last of their connection, so that no caller's pooled connection is closed under a request.

--- a/src/entry/action_runner.cc
+++ b/src/entry/action_runner.cc
@@ -1,5 +1,6 @@
 #include "entry/action_runner.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -26,13 +27,28 @@
 
 ActionRunner::ActionRunner(Parts parts) : parts(std::move(parts)) {}
 
-void ActionRunner::Run(Time /*posted*/, const EntryEvent& /*event*/,
-                       std::vector<EntryAction> actions) {
+void ActionRunner::Run(Time posted, const EntryEvent& event, std::vector<EntryAction> actions) {
+  this->Account(posted, event, actions);
   for (auto& action : actions) {
     std::visit([this](auto& typed) { this->On(typed); }, action);
   }
 }
 
+void ActionRunner::Account(Time posted, const EntryEvent& event,
+                           const std::vector<EntryAction>& actions) {
+  this->parts.metrics.Add("messages_useful_total", this->accounting.CountUseful(event, actions));
+  const auto added = std::chrono::duration<double, std::micro>(this->parts.clock.Now() - posted);
+  const auto has = [&actions](auto is_wanted) {
+    return std::any_of(actions.begin(), actions.end(), is_wanted);
+  };
+  if (has([](const EntryAction& action) { return std::holds_alternative<SendStart>(action); })) {
+    this->parts.metrics.Observe("added_start_latency_us", added.count());
+  }
+  if (has([](const EntryAction& action) { return std::holds_alternative<AnswerCaller>(action); })) {
+    this->parts.metrics.Observe("added_answer_latency_us", added.count());
+  }
+}
+
 template <typename Reply, typename Message, typename Make>
 void ActionRunner::Send(const std::string& address, const char* method, const Message& message,
                         Make make) {
--- a/src/entry/action_runner.h
+++ b/src/entry/action_runner.h
@@ -7,6 +7,7 @@
 #include "core/entry_events.h"
 #include "entry/core_thread.h"
 #include "entry/inner_api.h"
+#include "entry/message_accounting.h"
 #include "entry/open_requests.h"
 #include "entry/worker_pool.h"
 #include "platform/key_registry.h"
@@ -62,7 +63,11 @@
   template <typename Reply, typename Message, typename Make>
   void Send(const std::string& address, const char* method, const Message& message, Make make);
 
+  /// Counts the messages that the event carries, and the time that the entry added.
+  void Account(Time posted, const EntryEvent& event, const std::vector<EntryAction>& actions);
+
   Parts parts;
+  MessageAccounting accounting;
 };
 
 }  // namespace quetzalvale
--- /dev/null
+++ b/src/entry/entry_metrics.cc
@@ -0,0 +1,69 @@
+#include "entry/entry_metrics.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "core/result.h"
+
+namespace quetzalvale {
+namespace {
+
+double Seconds(const timeval& time) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  return static_cast<double>(time.tv_sec) +
+         static_cast<double>(time.tv_usec) / kMicrosecondsPerSecond;
+}
+
+void AddProcess(Metrics& metrics) {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  metrics.Set("process_cpu_seconds_total", Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
+  std::ifstream memory("/proc/self/statm");
+  double pages = 0;
+  double resident_pages = 0;
+  memory >> pages >> resident_pages;
+  metrics.Set("process_resident_memory_bytes",
+              resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE)));
+}
+
+void AddCounters(Metrics& metrics, const EntryCounters& counters) {
+  const auto set = [&metrics](const std::string& name, std::uint64_t value) {
+    metrics.Set(name, static_cast<double>(value));
+  };
+  set("forwarded_submissions_total", counters.forwarded_submissions);
+  set("salvages_total", counters.salvages);
+  set("withdrawals_total", counters.withdrawals);
+  set("retries_total", counters.retries);
+  set("announcements_received_total", counters.announcements_received);
+  set("hellos_sent_total", counters.hellos_sent);
+  set("jobs_complete_total", counters.jobs_complete);
+  set("tasks_started_total", counters.tasks_started);
+  for (const auto& [reason, count] : counters.jobs_failed) {
+    set("jobs_failed_" + reason + "_total", count);
+  }
+  for (const auto& [kind, count] : counters.jobs_refused) {
+    set(std::string("jobs_refused_") + ErrorKindText(kind) + "_total", count);
+  }
+}
+
+}  // namespace
+
+std::string RenderMetrics(Metrics& metrics, const EntryStatus& status,
+                          std::uint64_t messages_sent) {
+  AddProcess(metrics);
+  AddCounters(metrics, status.counters);
+  double queued = 0;
+  double jobs = 0;
+  for (const auto& service : status.services) {
+    queued += static_cast<double>(service.queued_tasks);
+    jobs += static_cast<double>(service.jobs_in_progress);
+  }
+  metrics.Set("queued_tasks", queued);
+  metrics.Set("jobs_in_progress", jobs);
+  metrics.Set("messages_sent_total", static_cast<double>(messages_sent));
+  return metrics.Text();
+}
+
+}  // namespace quetzalvale
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "entry/answer_json.h"
+#include "entry/entry_metrics.h"
 #include "runtime/entropy.h"
 #include "runtime/log.h"
 
@@ -77,7 +78,7 @@
                       this->admin_workers, this->senders, this->leave_requested});
   this->poller = std::make_unique<PlatformPoller>(
       PlatformPoller::Parts{this->book, this->store, this->registry, this->senders,
-                            [this] { return this->PeerAddresses(); }});
+                            [this] { return this->Status(); }, this->settings.entries});
   this->rpc = std::make_unique<RpcServer>(this->settings.inner_address, this->settings.shared_key,
                                           kRpcThreads);
   this->inner->RegisterWith(*this->rpc);
@@ -132,24 +133,24 @@
 }
 
 void EntryProcess::ServeMetrics(const HttpResponder& respond) {
-  respond({200, this->metrics.Text(), "text/plain"});
+  const bool posted = this->core->PostStatusRequest([this, respond](const EntryStatus& status) {
+    const std::uint64_t sent = this->senders.SentCalls() + this->table.SentRequests();
+    respond({200, RenderMetrics(this->metrics, status, sent), "text/plain"});
+  });
+  if (!posted) {
+    respond(RenderRefusal({ErrorKind::kOverloaded, "the entry is overloaded; read them again"}));
+  }
 }
 
-std::vector<std::string> EntryProcess::PeerAddresses() {
-  auto addresses = std::make_shared<std::promise<std::vector<std::string>>>();
-  auto future = addresses->get_future();
-  const bool posted = this->core->PostStatusRequest([addresses](const EntryStatus& status) {
-    std::vector<std::string> found;
-    for (const auto& peer : status.peers) {
-      found.push_back(peer.address);
-    }
-    addresses->set_value(std::move(found));
-  });
+std::optional<EntryStatus> EntryProcess::Status() {
+  auto promise = std::make_shared<std::promise<EntryStatus>>();
+  auto future = promise->get_future();
+  const bool posted = this->core->PostStatusRequest(
+      [promise](const EntryStatus& status) { promise->set_value(status); });
   if (!posted || future.wait_for(kStatusPatience) != std::future_status::ready) {
-    return this->settings.entries;
+    return std::nullopt;
   }
-  auto found = future.get();
-  return found.empty() ? this->settings.entries : found;
+  return future.get();
 }
 
 void EntryProcess::Leave() {
@@ -158,6 +159,8 @@
   }
   this->leaving = true;
   Log(LogLevel::kInfo, 3001, "entry_leaving", "name=" + this->settings.name);
+  // Callers' connections are not reused from now on, so that none is closed under a request.
+  this->http->CloseConnections();
   this->core->PostResult(LeaveRequested{});
   this->departed.get_future().wait();
   this->poller->Stop();
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "entry/action_runner.h"
@@ -46,7 +47,8 @@
   void Handle(const HttpRequest& request, const HttpResponder& respond);
   HttpResponse Ready() const;
   void ServeMetrics(const HttpResponder& respond);
-  std::vector<std::string> PeerAddresses();
+  /// Returns nothing when the entry is overloaded.
+  std::optional<EntryStatus> Status();
 
   ProcessSettings settings;
   std::function<void()> leave_requested;
--- a/src/entry/platform_poller.cc
+++ b/src/entry/platform_poller.cc
@@ -11,6 +11,16 @@
 /// Peers' sender threads with nothing to send are kept this long.
 constexpr std::chrono::seconds kIdleSender{120};
 
+/// Returns the highest version of the service's configuration that a peer reports.
+std::uint64_t PeerVersion(const EntryStatus& status, const std::string& service) {
+  for (const auto& candidate : status.services) {
+    if (candidate.service == service) {
+      return candidate.peer_configuration_version;
+    }
+  }
+  return 0;
+}
+
 }  // namespace
 
 PlatformPoller::PlatformPoller(Parts parts) : parts(std::move(parts)) {}
@@ -64,9 +74,14 @@
 }
 
 void PlatformPoller::AskPeers(const std::string& service) {
+  const auto known = this->parts.book.Document(service);
+  const auto status = this->parts.status();
+  if (known && !(status && PeerVersion(*status, service) > known->version)) {
+    return;
+  }
   Json::Value parameters;
   parameters["service"] = service;
-  for (const auto& peer : this->parts.peers()) {
+  for (const auto& peer : this->PeerAddresses(status)) {
     this->parts.senders.Send(
         peer, "configuration", parameters, [this, service, peer](const Result<Json::Value>& reply) {
           const auto* json = std::get_if<Json::Value>(&reply);
@@ -78,6 +93,18 @@
   }
 }
 
+std::vector<std::string> PlatformPoller::PeerAddresses(
+    const std::optional<EntryStatus>& status) const {
+  if (!status || status->peers.empty()) {
+    return this->parts.seed_addresses;
+  }
+  std::vector<std::string> addresses;
+  for (const auto& peer : status->peers) {
+    addresses.push_back(peer.address);
+  }
+  return addresses;
+}
+
 void PlatformPoller::NotePlatform(bool reachable) {
   if (reachable != this->platform_reachable) {
     this->platform_reachable = reachable;
--- a/src/entry/platform_poller.h
+++ b/src/entry/platform_poller.h
@@ -4,10 +4,12 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "core/entry_status.h"
 #include "entry/configuration_book.h"
 #include "platform/configuration_store.h"
 #include "platform/entry_registry.h"
@@ -16,7 +18,7 @@
 namespace quetzalvale {
 
 /// One thread that reads the configuration rows each second and keeps this entry's address row.
-/// While the platform is out, it asks peers for newer documents.
+/// While the platform is out, it asks peers for the documents that they report newer versions of.
 class PlatformPoller {
  public:
   struct Parts {
@@ -24,8 +26,10 @@
     ConfigurationStore& store;
     EntryRegistry& registry;
     PeerSenders& senders;
-    /// Returns the inner addresses of other entries.
-    std::function<std::vector<std::string>()> peers;
+    /// Returns the entry's status, or nothing when it is overloaded.
+    std::function<std::optional<EntryStatus>()> status;
+    /// Inner addresses of entries to ask while no peer is known.
+    std::vector<std::string> seed_addresses;
   };
 
   /// The parts must outlive the poller.
@@ -42,7 +46,9 @@
   void Run();
   /// Returns whether the platform answered.
   bool PollService(const std::string& service);
+  /// Asks peers for the document if one may have a newer version.
   void AskPeers(const std::string& service);
+  std::vector<std::string> PeerAddresses(const std::optional<EntryStatus>& status) const;
   void NotePlatform(bool reachable);
 
   Parts parts;
--- a/src/standin/platform_delay.cc
+++ b/src/standin/platform_delay.cc
@@ -10,11 +10,20 @@
   {
     const std::lock_guard lock(this->mutex);
     this->stopped = true;
+    this->expedited = true;
   }
   this->changed.notify_all();
   this->thread.join();
 }
 
+void DelayQueue::Expedite() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->expedited = true;
+  }
+  this->changed.notify_all();
+}
+
 void DelayQueue::RunAfter(std::chrono::milliseconds delay, std::function<void()> function) {
   if (delay.count() <= 0) {
     function();
@@ -35,7 +44,7 @@
       continue;
     }
     const auto first = this->waiting.begin();
-    if (!this->stopped && first->first > std::chrono::steady_clock::now()) {
+    if (!this->expedited && first->first > std::chrono::steady_clock::now()) {
       this->changed.wait_until(lock, std::chrono::steady_clock::time_point(first->first));
       continue;
     }
--- a/src/standin/platform_delay.h
+++ b/src/standin/platform_delay.h
@@ -19,6 +19,9 @@
   DelayQueue(const DelayQueue&) = delete;
   DelayQueue& operator=(const DelayQueue&) = delete;
 
+  /// Runs what is waiting at once, and from now on everything without delay.
+  void Expedite();
+
   /// Runs the function after the delay; at once, on this thread, when the delay is zero.
   void RunAfter(std::chrono::milliseconds delay, std::function<void()> function);
 
@@ -28,6 +31,7 @@
   std::mutex mutex;
   std::condition_variable changed;
   std::multimap<std::chrono::steady_clock::time_point, std::function<void()>> waiting;
+  bool expedited = false;
   bool stopped = false;
   std::thread thread;
 };
--- a/src/standin/platform_server.cc
+++ b/src/standin/platform_server.cc
@@ -57,7 +57,10 @@
             this->Handle(std::move(request), respond);
           }) {}
 
-void PlatformServer::Stop() { this->server.Stop(kStopPatience); }
+void PlatformServer::Stop() {
+  this->delays.Expedite();
+  this->server.Stop(kStopPatience);
+}
 
 void PlatformServer::Handle(HttpRequest request, const HttpResponder& respond) {
   const auto& path = request.path;
--- a/src/standin/platform_server.h
+++ b/src/standin/platform_server.h
@@ -21,7 +21,7 @@
   /// Returns an empty text, or the reason why the address cannot be listened on.
   std::string Start() { return this->server.Start(); }
 
-  /// Ends requests in flight, then closes the address.
+  /// Ends requests in flight without further latency, then closes the address.
   void Stop();
 
   PlatformFaults& Faults() { return this->faults; }
