--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -15,8 +15,8 @@
   std::string method = "GET";
   /// Path and query, percent-encoded.
   std::string target;
-  std::string body;
-  std::string authorization;
+  std::string body{};
+  std::string authorization{};
   /// Use a connection of its own. cpprestsdk silently sends a request again when a pooled
   /// connection turns out to be closed, so what must be sent at most once needs this.
   bool once = false;
--- a/src/platform/configuration_store.h
+++ b/src/platform/configuration_store.h
@@ -20,11 +20,11 @@
   /// Version that the change was made against; zero for a new service.
   std::uint64_t base_version = 0;
   /// Chosen by the operator's tool, unique per change.
-  std::string change_id;
+  std::string change_id{};
   /// Name of the token's holder.
-  std::string holder;
-  std::string summary;
-  Json::Value document;
+  std::string holder{};
+  std::string summary{};
+  Json::Value document{};
 };
 
 struct StoredDocument {
--- /dev/null
+++ b/tests/entry/libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(entry_test PRIVATE quetzalvale_entry quetzalvale_standin_platform)
