--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -19,7 +19,7 @@
 
 AgentIdentity MakeIdentity(const ProcessSettings& settings) {
   AgentIdentity identity{DrawIncarnation(),    settings.name,          settings.services.at(0),
-                         settings.data_centre, settings.inner_address, settings.worker};
+                         settings.data_centre, settings.advertised_address, settings.worker};
   // Every running task holds a connection.
   identity.worker.slots = std::min(identity.worker.slots, identity.worker.connections);
   return identity;
