Count more urgent arrivals in admission

Cause: the queue is ordered by urgency, so work that arrives later passes the job. Admission looked only at the queue of the moment and took far more of the less urgent kinds than could finish; jobs at the head of the queue then ended at their deadline with some of their tasks run.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -8,12 +8,17 @@
 namespace {
 
 /// The wait behind many tasks is known well once their kinds are learned. The margin keeps a
-/// saturated queue short enough that what was taken still meets its deadline.
-constexpr double kLearnedWaitFactor = 1.1;
+/// saturated queue so short that what was taken still meets its deadline: a queue that reaches up
+/// to the deadline starts the first tasks of jobs whose last ones come too late.
+constexpr double kLearnedWaitFactor = 1.5;
 
 /// With unlearned kinds the queue's size is a guess, so only twice the deadline is refused.
 constexpr double kUnlearnedWaitFactor = 0.5;
 
+/// More urgent arrivals are taken to leave at least this share of the slots. Beyond that the
+/// expected wait grows without limit, and a short burst would refuse everything less urgent.
+constexpr double kLeastShare = 0.2;
+
 /// One task may run in half its expected time, on a faster endpoint or because runs vary.
 constexpr double kOwnRunFactor = 0.5;
 
@@ -103,8 +108,9 @@
   const double ahead = static_cast<double>(load.queued_work.count()) +
                        static_cast<double>(load.outstanding_work.count()) / 2;
   const bool learned = model.IsLearned(submission.kind);
-  const double wait = ahead / slots * (learned ? kLearnedWaitFactor : kUnlearnedWaitFactor);
-  const double own = learned ? std::max(work / slots, longest) * kOwnRunFactor : 0;
+  const double left = std::max(slots - load.urgent_slots, slots * kLeastShare);
+  const double wait = ahead / left * (learned ? kLearnedWaitFactor : kUnlearnedWaitFactor);
+  const double own = learned ? std::max(work / left, longest) * kOwnRunFactor : 0;
   const double finish_ms = (wait + own) / 1000;
   if (finish_ms <= static_cast<double>(deadline.count())) {
     return std::nullopt;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -20,6 +20,9 @@
   Microseconds outstanding_work{0};
   /// Slots of usable agents, weighted by speed, less those that other entries occupy.
   double effective_slots = 0;
+  /// Slots of speed 1 that more urgent arrivals keep busy lately. They pass the new job while it
+  /// waits.
+  double urgent_slots = 0;
   bool has_agents = false;
 };
 
--- /dev/null
+++ b/src/core/arrival_rates.cc
@@ -0,0 +1,44 @@
+#include "core/arrival_rates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalvale {
+namespace {
+
+/// About the wait that a saturated queue builds up; shorter averages take every burst for lasting.
+constexpr double kSpanSeconds = 5;
+
+/// Least span of an average, so that the first arrival does not count as an endless rate.
+constexpr double kLeastSeconds = 1;
+
+double SecondsBetween(Time from, Time to) {
+  return std::max(0.0, std::chrono::duration<double>(to - from).count());
+}
+
+double Decay(Time from, Time to) { return std::exp(-SecondsBetween(from, to) / kSpanSeconds); }
+
+}  // namespace
+
+void ArrivalRates::Add(int urgency, Microseconds expected, Time now) {
+  if (this->rates.empty()) {
+    this->first = now;
+  }
+  Rate& rate = this->rates[urgency];
+  const double seconds = std::chrono::duration<double>(expected).count();
+  rate.slots = rate.slots * Decay(rate.updated, now) + seconds / kSpanSeconds;
+  rate.updated = now;
+}
+
+double ArrivalRates::SlotsAhead(int urgency, Time now) const {
+  double slots = 0;
+  for (const auto& [other, rate] : this->rates) {
+    if (other < urgency) {
+      slots += rate.slots * Decay(rate.updated, now);
+    }
+  }
+  const double seen = std::max(kLeastSeconds, SecondsBetween(this->first, now));
+  return slots / (1 - std::exp(-seen / kSpanSeconds));
+}
+
+}  // namespace quetzalvale
--- a/src/core/entry_core_submissions.cc
+++ b/src/core/entry_core_submissions.cc
@@ -265,6 +265,7 @@
   const int urgency = kind == nullptr ? 0 : kind->urgency;
   load.queued_tasks = static_cast<std::uint32_t>(service.queue.Size());
   load.queued_work = service.queue.WorkUpTo(urgency);
+  load.urgent_slots = service.arrivals.SlotsAhead(urgency, this->now);
   for (const auto& [incarnation, agent] : this->directory.Agents()) {
     const bool usable = agent.member && !agent.leaving && agent.announce.service == service.name &&
                         agent.first_roster <= submission.ticket->roster;
@@ -308,6 +309,7 @@
     Task task;
     task.spec = spec;
     task.expected = service.model.Expected(submission.kind, spec.declared);
+    service.arrivals.Add(fresh.urgency, task.expected, this->now);
     fresh.tasks.push_back(std::move(task));
   }
   Job& job = this->jobs.Add(std::move(fresh));
--- a/src/core/service_state.h
+++ b/src/core/service_state.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "core/arrival_rates.h"
 #include "core/health_tracker.h"
 #include "core/placement.h"
 #include "core/quota_table.h"
@@ -28,6 +29,7 @@
   TicketLedger ledger;
   StartQueue queue;
   RunTimeModel model;
+  ArrivalRates arrivals;
   QuotaTable quotas;
   HealthTracker health;
   RetryBudget retry_budget;
--- a/tests/policy/admission_test.cc
+++ b/tests/policy/admission_test.cc
@@ -97,6 +97,19 @@
   EXPECT_EQ(this->Check(), std::nullopt);
 }
 
+// Fails when more urgent arrivals are left out: they pass the queue, and what was taken at the back
+// of it then fails at its deadline.
+TEST_F(AdmissionTest, CountsMoreUrgentArrivals) {
+  this->load.queued_work = seconds(20);
+  EXPECT_EQ(this->Check(), std::nullopt);
+  this->load.urgent_slots = 6;
+  EXPECT_EQ(this->Check(), ErrorKind::kDeadlineUnreachable);
+  // A burst of them does not make the wait endless.
+  this->load.queued_work = seconds(5);
+  this->load.urgent_slots = 1000;
+  EXPECT_EQ(this->Check(), std::nullopt);
+}
+
 // Fails when a guess refuses a job: with a kind that never ran, the queue's size is not known.
 TEST_F(AdmissionTest, DoesNotRefuseOnAGuess) {
   this->load.queued_work = seconds(60);
