--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -77,6 +77,14 @@
     bool probe = false;
   };
 
+  enum class Placed {
+    kYes,
+    /// The policy leaves the task waiting.
+    kDeclined,
+    /// No free agent may take the task now.
+    kBlocked
+  };
+
   struct Departure {
     enum class Stage { kNone, kFinishing, kHandingOver, kTelling, kDeparted };
     Stage stage = Stage::kNone;
@@ -160,8 +168,8 @@
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
   bool HasRoom(const ServiceState& service, const Agent& agent) const;
-  bool Place(ServiceState& service, Job& job, std::uint32_t index, std::vector<Usable>& usable,
-             std::uint32_t waiting_ahead);
+  Placed Place(ServiceState& service, Job& job, std::uint32_t index, std::vector<Usable>& usable,
+               std::uint32_t waiting_ahead);
   bool MayRetry(ServiceState& service, const Task& task);
   void Assign(ServiceState& service, Job& job, std::uint32_t index, Usable& usable);
   void SendStarts();
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -8,9 +8,13 @@
 namespace quetzalvale {
 namespace {
 
-/// Tasks that the policy leaves waiting, or that no free agent may take, before a round ends.
+/// Tasks that the policy leaves waiting before a round ends.
 constexpr std::uint32_t kMaxDeclined = 64;
 
+/// Tasks that no free agent may take, such as those with old tickets, before a round ends. More
+/// than the tasks of one job, so that such a job does not hold up the others behind it.
+constexpr std::uint32_t kMaxBlocked = 512;
+
 /// Placements repeated in spite of an empty retry budget, so that a job of refused tasks does not
 /// wait for other jobs to earn one.
 constexpr Milliseconds kTricklePause{200};
@@ -93,23 +97,26 @@
   }
   std::vector<Usable> usable = this->UsableAgents(service);
   std::uint32_t declined = 0;
+  std::uint32_t blocked = 0;
   const auto& items = service.queue.Items();
   for (auto next = items.begin(); next != items.end() && !usable.empty();) {
     // Placing the task takes it out of the queue.
     const StartQueue::Item item = *next++;
     Job& job = *this->jobs.Find(item.task.job);
-    if (item.deadline <= this->now ||
-        this->Place(service, job, item.task.index, usable, declined)) {
+    if (item.deadline <= this->now) {
       continue;
     }
-    if (++declined >= kMaxDeclined) {
+    const Placed placed = this->Place(service, job, item.task.index, usable, declined);
+    declined += placed == Placed::kDeclined ? 1 : 0;
+    blocked += placed == Placed::kBlocked ? 1 : 0;
+    if (declined >= kMaxDeclined || blocked >= kMaxBlocked) {
       return;
     }
   }
 }
 
-bool EntryCore::Place(ServiceState& service, Job& job, std::uint32_t index,
-                      std::vector<Usable>& usable, std::uint32_t waiting_ahead) {
+EntryCore::Placed EntryCore::Place(ServiceState& service, Job& job, std::uint32_t index,
+                                   std::vector<Usable>& usable, std::uint32_t waiting_ahead) {
   const Task& task = job.tasks[index];
   std::vector<std::size_t> positions;
   std::vector<Candidate> candidates;
@@ -147,8 +154,11 @@
       chosen = positions[*position];
     }
   }
+  if (!chosen && !candidates.empty()) {
+    return Placed::kDeclined;
+  }
   if (!chosen || !this->MayRetry(service, task)) {
-    return false;
+    return Placed::kBlocked;
   }
   this->Assign(service, job, index, usable[*chosen]);
   Usable again;
@@ -157,7 +167,7 @@
   } else {
     usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(*chosen));
   }
-  return true;
+  return Placed::kYes;
 }
 
 bool EntryCore::MayRetry(ServiceState& service, const Task& task) {
--- a/src/core/peer_table.cc
+++ b/src/core/peer_table.cc
@@ -58,7 +58,9 @@
 }
 
 Peer* PeerTable::Hear(const EntryInfo& entry, Time now) {
-  if (entry.incarnation == this->self.incarnation || entry.incarnation.IsNil()) {
+  // A delayed message of the process that had this entry's address before: calls to it would come
+  // back here.
+  if (entry.address == this->self.address || entry.incarnation.IsNil()) {
     return nullptr;
   }
   auto found = this->peers.find(entry.incarnation);
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -37,7 +37,7 @@
   PeerTable(EntryInfo self, const std::vector<std::string>& seed_addresses);
 
   /// Notes a message from the entry. Returns nullptr for an incarnation that is gone (a delayed
-  /// message) and for this entry itself.
+  /// message) and for this entry's own address.
   Peer* Hear(const EntryInfo& entry, Time now);
 
   /// Notes that the entry answered a call just now, which proves that it has its address.
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -210,6 +210,17 @@
   EXPECT_EQ(this->Start(this->Answered(1)->fresh_tickets.front(), 2).agent, kAgent);
 }
 
+// Tasks that only a full agent may take must not hold up those that others can take.
+TEST_F(EntryCoreTest, PlacesTasksBehindALargeJobThatHasToWait) {
+  this->AddAgent(kAgent, "a");
+  Submission large = this->Job(this->NewTicket());
+  large.tasks.resize(200);
+  this->AddAgent({5, 2}, "b");
+  this->Send(JobSubmitted{1, large});
+  EXPECT_EQ(this->Find<SendStart>()->message.agent, kAgent);
+  EXPECT_EQ(this->Start(this->NewTicket(), 2).agent, (Incarnation{5, 2}));
+}
+
 // The proof may come up to 500 ms after the deadline.
 TEST_F(EntryCoreTest, SaysNotRunAtTheDeadlineOnlyWithProof) {
   this->AddAgent(kAgent, "a");
--- a/tests/core/peer_table_test.cc
+++ b/tests/core/peer_table_test.cc
@@ -62,6 +62,14 @@
   EXPECT_TRUE(peers.IsAlive({1, 3}, seconds(10), kStart));
 }
 
+// Forwards and cancellations to the process that had this address before would come back for ever.
+TEST(PeerTableTest, TakesNoPeerAtItsOwnAddress) {
+  PeerTable peers(kSelf, {"self"});
+  EXPECT_EQ(peers.Hear({{1, 9}, "self", "dc"}, kStart), nullptr);
+  EXPECT_EQ(peers.Find({1, 9}), nullptr);
+  EXPECT_TRUE(peers.TakeDue(seconds(1), kStart).empty());
+}
+
 TEST(PeerTableTest, LeavesTheRosterOutOnlyOnceConfirmed) {
   PeerTable peers(kSelf, {"peer"});
   EXPECT_EQ(peers.TakeDue(seconds(1), kStart), (std::vector<std::string>{"peer"}));
