Look behind tasks that only busy agents can take

The default policy leaves a task waiting when all agents that its ticket may use are busy. They now count like tasks that no free agent may take, up to 512 while some agent has a free slot.

--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -106,10 +106,12 @@
     if (item.deadline <= this->now) {
       continue;
     }
-    const Placed placed = this->Place(service, job, item.task.index, usable, declined);
+    const Placed placed = this->Place(service, job, item.task.index, usable, declined + blocked);
     declined += placed == Placed::kDeclined ? 1 : 0;
     blocked += placed == Placed::kBlocked ? 1 : 0;
-    if (declined >= kMaxDeclined || blocked >= kMaxBlocked) {
+    const bool any_free = std::ranges::any_of(
+        usable, [](const Usable& entry) { return entry.probe || entry.candidate.free_slots > 0; });
+    if (declined >= kMaxDeclined || blocked >= (any_free ? kMaxBlocked : kMaxDeclined)) {
       return;
     }
   }
@@ -154,7 +156,9 @@
       chosen = positions[*position];
     }
   }
-  if (!chosen && !candidates.empty()) {
+  const bool any_free = std::ranges::any_of(
+      candidates, [](const Candidate& candidate) { return candidate.free_slots > 0; });
+  if (!chosen && any_free) {
     return Placed::kDeclined;
   }
   if (!chosen || !this->MayRetry(service, task)) {
