Name the same key as the remedy when a key cannot be claimed

The message advised to submit the job with a ticket instead. A job submitted earlier with the key may have run, so that a second submission with a ticket could run it again. Also renames a class that shares its name with a forward declaration of jsoncpp, as the linter asks.

--- a/src/entry/job_request.cc
+++ b/src/entry/job_request.cc
@@ -23,9 +23,10 @@
 constexpr std::int64_t kMaxTickets = 10000;
 
 /// Reads the members of one object; keeps the first error.
-class Reader {
+class MemberReader {
  public:
-  Reader(const Json::Value& object, std::string path) : object(object), path(std::move(path)) {}
+  MemberReader(const Json::Value& object, std::string path)
+      : object(object), path(std::move(path)) {}
 
   std::string Text(const char* name, bool required) {
     const Json::Value* value = this->Find(name);
@@ -100,7 +101,7 @@
   if (!json.isObject()) {
     return Error{ErrorKind::kMalformed, path + " must be an object"};
   }
-  Reader reader(json, path + ".");
+  MemberReader reader(json, path + ".");
   TaskSpec task;
   reader.RefuseUnknown(kTaskMembers);
   task.declared = Milliseconds(reader.Integer("declared_ms", kMaxMilliseconds));
@@ -192,7 +193,7 @@
     return GetError(parsed);
   }
   const auto& json = std::get<Json::Value>(parsed);
-  Reader reader(json, "");
+  MemberReader reader(json, "");
   Submission submission;
   submission.service = service;
   reader.RefuseUnknown(kJobMembers);
@@ -228,7 +229,7 @@
   if (!IsOk(parsed)) {
     return GetError(parsed);
   }
-  Reader reader(std::get<Json::Value>(parsed), "");
+  MemberReader reader(std::get<Json::Value>(parsed), "");
   reader.RefuseUnknown(kMembers);
   const std::int64_t count = reader.Integer("count", kMaxTickets);
   if (count == 0) {
--- a/src/platform/key_registry.cc
+++ b/src/platform/key_registry.cc
@@ -12,8 +12,8 @@
 
 Error Unavailable(const std::string& reason) {
   return {ErrorKind::kPlatformUnavailable,
-          "the key cannot be claimed while the platform is unavailable (" + reason +
-              "); submit with a ticket instead of a key, or submit again later"};
+          "the platform is unavailable (" + reason +
+              "); submit again later with the same key, and use a ticket for new work"};
 }
 
 }  // namespace
