--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -162,6 +162,7 @@
                   endpoint_address = address(host.free_port()), speed = self.speeds[(position - 1) % #self.speeds + 1]}
   worker.settings = process_settings(self, "agent", worker.name, position)
   worker.settings.service = self.service
+  worker.settings.caller_address = address(host.free_port())
   worker.settings.endpoint = "http://" .. worker.endpoint_address
   worker.settings.worker = {slots = self.slots, connections = self.connections,
                             cores = self.document.worker_limits.cores,
