--- a/src/core/entry_core_settlement.cc
+++ b/src/core/entry_core_settlement.cc
@@ -256,7 +256,13 @@
     return;
   }
   if (ProvesNotRun(outcome)) {
-    task.excluded.push_back(incarnation);
+    if (outcome.channel_sequence != task.channel_sequence) {
+      return;
+    }
+    // The endpoint has no room although the agent thought so.
+    if (Agent* refusing = this->directory.Find(incarnation)) {
+      this->Pause(*refusing);
+    }
     this->ProvenNotRun({job->id, index});
     return;
   }
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -126,8 +126,7 @@
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const Agent& agent = *usable[i].agent;
     if (agent.first_roster > job.ticket.roster || !Fits(task.spec, agent.announce.worker) ||
-        Contains(job.excluded, agent.announce.agent) ||
-        Contains(task.excluded, agent.announce.agent)) {
+        Contains(job.excluded, agent.announce.agent)) {
       continue;
     }
     if (usable[i].probe) {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -33,6 +33,9 @@
   /// JSON text returned by the endpoint; "null" when the task failed.
   std::string result = "null";
   Microseconds run_time{0};
+  /// Channel sequence of the start that this outcome belongs to. A delayed proof of "not run" must
+  /// not be taken for one of a later start of the task on the same agent.
+  std::uint64_t channel_sequence = 0;
 };
 
 /// Load that an agent reports with everything it sends.
--- a/src/core/task_store.cc
+++ b/src/core/task_store.cc
@@ -90,6 +90,7 @@
   record.refused = refused;
   record.outcome = std::move(outcome);
   record.outcome.task = task;
+  record.outcome.channel_sequence = record.channel_sequence;
   this->bytes += OutcomeBytes(record);
 }
 
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -23,6 +23,7 @@
   visit("reason", m.reason);
   visit("result", m.result);
   visit("run_us", m.run_time);
+  visit("channel_sequence", m.channel_sequence);
 }
 
 template <typename V>
