--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -123,7 +123,13 @@
   if (ticket.owner != request.owner || ticket.service != this->identity.service) {
     return StartRefusal::kWrongIncarnation;
   }
-  if (const TaskRecord* record = this->store.Find(item.task)) {
+  const TaskRecord* record = this->store.Find(item.task);
+  if (record != nullptr && record->DidNotRun() && record->released) {
+    // The owner has the proof that the earlier start did not run and places the task anew.
+    this->store.RemoveNotRun(item.task);
+    record = nullptr;
+  }
+  if (record != nullptr) {
     return this->DecideKnown(*record, reply);
   }
   if (this->guards.ask_started(this->started, item.task) != StartedAnswer::kNever) {
@@ -137,8 +143,8 @@
 
 StartRefusal AgentCore::DecideKnown(const TaskRecord& record, StartReply* reply) const {
   if (record.DidNotRun()) {
-    // A delayed copy of the outcome that proves "not run" would be taken for one of a new start, so
-    // the task is not started here again.
+    // The outcome that proves it is still on its way, and its acknowledgement would be taken for one
+    // of the new start's outcome.
     return StartRefusal::kBusy;
   }
   if (record.state == TaskState::kFinished) {
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -55,9 +55,6 @@
   bool runs = false;
   /// Placements that were proven not run.
   std::uint32_t refusals = 0;
-  /// Agents that recorded the task and ended it without running it. They take it no second time,
-  /// because a delayed copy of that outcome could be mistaken for one of the second start.
-  std::vector<Incarnation> excluded;
   Microseconds expected{0};
   std::string result;
 };
--- a/src/core/task_store.cc
+++ b/src/core/task_store.cc
@@ -115,6 +115,13 @@
   target.emplace_back(now, task);
 }
 
+void TaskStore::RemoveNotRun(const TaskKey& task) {
+  const auto found = this->records.find(task);
+  this->bytes -= OutcomeBytes(found->second);
+  this->records.erase(found);
+  std::erase_if(this->released_not_run, [&](const auto& item) { return item.second == task; });
+}
+
 void TaskStore::DiscardExpired(Time now) {
   for (ReleasedQueue* released : {&this->released_ran, &this->released_not_run}) {
     while (!released->empty() && now - released->front().first >= this->limits.retention) {
--- a/src/core/task_store.h
+++ b/src/core/task_store.h
@@ -42,9 +42,7 @@
 };
 
 /// Keeps an outcome until it is released, then for a retention time. A full store drops released
-/// records early and takes no new ones when nothing can be dropped. Records of tasks that did not
-/// run stay for the whole retention time: while a delayed copy of such an outcome may still arrive,
-/// the task must not start here again. Not thread-safe.
+/// records early and takes no new ones when nothing can be dropped. Not thread-safe.
 class TaskStore {
  public:
   struct Limits {
@@ -89,6 +87,9 @@
   /// Removes a queued task. Precondition: it is queued.
   void RemoveQueued(const TaskKey& task);
 
+  /// Removes the record of a released task that did not run. Precondition: it is one.
+  void RemoveNotRun(const TaskKey& task);
+
   /// Starts the retention time of a finished task. No effect on other tasks.
   void Release(const TaskKey& task, Time now);
 
