--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -14,8 +14,9 @@
 /// before the first of them; the library's default of 40 wastes memory.
 void InitHttpThreads(int threads);
 
-/// Listens on one address. A request whose body exceeds the limit gets 413 without its body being
-/// kept. Thread-safe but for Start and Stop.
+/// Listens on one address. A request whose body exceeds the limit gets 413 and does not reach the
+/// handler; cpprestsdk still buffers the body until the response is sent. Thread-safe but for Start
+/// and Stop.
 class HttpServer {
  public:
   /// `address` is `IPv4:port`. `max_body_bytes` is asked for each request.
