--- a/tests/agent/agent_property_test.cc
+++ b/tests/agent/agent_property_test.cc
@@ -338,8 +338,9 @@
       ++this->seen["outcome_" + outcome.reason];
       OwnerView& view = this->owners[outcome.task];
       if (!outcome.ok && (outcome.reason == "not_run" || outcome.reason == "expired")) {
-        this->Declare(outcome.task, this->truth[outcome.task].delivered);
-        view.open = view.open && lost;
+        // The owner takes the proof only for the start whose sequence it carries.
+        this->Declare(outcome.task, outcome.channel_sequence);
+        this->CloseIfCurrent(lost, view, outcome.channel_sequence);
       } else if (!lost) {
         view.settled = true;
       }
