--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -143,8 +143,8 @@
 
 StartRefusal AgentCore::DecideKnown(const TaskRecord& record, StartReply* reply) const {
   if (record.DidNotRun()) {
-    // The outcome that proves it is still on its way, and its acknowledgement would be taken for one
-    // of the new start's outcome.
+    // The outcome that proves it is still on its way, and its acknowledgement would be taken for
+    // one of the new start's outcome.
     return StartRefusal::kBusy;
   }
   if (record.state == TaskState::kFinished) {
--- a/src/scenario/link_table.cc
+++ b/src/scenario/link_table.cc
@@ -17,4 +17,10 @@
   return this->cuts.contains({from, to});
 }
 
+bool LinkTable::IfOpen(const std::string& from, const std::string& to,
+                       const std::function<bool()>& transfer) const {
+  const std::lock_guard lock(this->mutex);
+  return this->cuts.contains({from, to}) || transfer();
+}
+
 }  // namespace quetzalvale
--- a/src/scenario/link_table.h
+++ b/src/scenario/link_table.h
@@ -1,6 +1,7 @@
 /// Which directions between two processes are cut.
 #pragma once
 
+#include <functional>
 #include <mutex>
 #include <set>
 #include <string>
@@ -18,6 +19,11 @@
 
   bool IsCut(const std::string& from, const std::string& to) const;
 
+  /// Runs `transfer` unless the direction is cut, and returns its result, or true. A cut waits for
+  /// transfers under way, so that nothing passes after Cut has returned.
+  bool IfOpen(const std::string& from, const std::string& to,
+              const std::function<bool()>& transfer) const;
+
  private:
   mutable std::mutex mutex;
   std::set<std::pair<std::string, std::string>> cuts;
--- a/src/scenario/relay_hub.cc
+++ b/src/scenario/relay_hub.cc
@@ -139,9 +139,13 @@
 }
 
 bool RelayHub::Move(Stream& stream) const {
-  if (!this->IsMovable(stream)) {
+  if (stream.ended) {
     return true;
   }
+  return this->links.IfOpen(stream.from, stream.to, [&stream] { return Transfer(stream); });
+}
+
+bool RelayHub::Transfer(Stream& stream) {
   if (stream.pending.empty()) {
     std::array<char, kChunkBytes> chunk;
     const ssize_t count = read(stream.source, chunk.data(), chunk.size());
--- a/src/scenario/relay_hub.h
+++ b/src/scenario/relay_hub.h
@@ -62,6 +62,7 @@
   bool IsMovable(const Stream& stream) const;
   /// Moves what can be moved without blocking. Returns false when the connection broke.
   bool Move(Stream& stream) const;
+  static bool Transfer(Stream& stream);
   static void CloseConnection(Connection& connection);
 
   const LinkTable& links;
--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <stdexcept>
 
 #include "scenario/child_process.h"
 #include "scenario/lua_script.h"
@@ -63,9 +64,14 @@
 
 int Listen(std::uint16_t port) {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  // Connections of an earlier run may still hold the port in TIME_WAIT.
+  const int enabled = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
   const sockaddr_in address = Loopback(port);
-  EXPECT_EQ(bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
-  EXPECT_EQ(listen(listener, 1), 0);
+  if (bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
+      listen(listener, 1) != 0) {
+    throw std::runtime_error("port " + std::to_string(port) + " cannot be listened on");
+  }
   return listener;
 }
 
