Find out a frozen owner once, not once per job

Ruled out: shorter timeouts, which would fail calls to a slow peer. Conclusion: one timeout of a peer that is not heard any more fails all forwards on their way to it; unit test OneTimeoutOfADeadOwnerSalvagesAllItsJobs.

--- a/src/core/entry_core_peers.cc
+++ b/src/core/entry_core_peers.cc
@@ -251,6 +251,11 @@
       this->peers.HearReply(EntryInfo(peer->info), this->now);
     }
   }
+  if (reply == nullptr && !this->IsPeerAlive(event.to)) {
+    // Calls to one peer are sent one after another, so the others would each wait for their
+    // timeout.
+    this->forwards.RetryAll(event.to, this->now);
+  }
   if (forward == nullptr || forward->target != event.to) {
     return;
   }
--- a/src/core/forward_table.h
+++ b/src/core/forward_table.h
@@ -48,6 +48,9 @@
   /// Notes that the attempt failed or the submission was not taken; it is due again later.
   void Retry(Forward& forward, Time now);
 
+  /// Retry for all forwards that are on their way to the target.
+  void RetryAll(const Incarnation& target, Time now);
+
   /// Whether some request waits for the ticket.
   bool Contains(const Ticket& ticket) const;
 
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -341,6 +341,25 @@
   EXPECT_EQ(this->core.Status(this->now).counters.salvages, 1U);
 }
 
+// Calls to one peer wait behind each other, so a frozen owner of many jobs would delay the salvage
+// of each by the timeouts of all before it.
+TEST_F(EntryCoreTest, OneTimeoutOfADeadOwnerSalvagesAllItsJobs) {
+  this->Greet(4, {{"s", kAgent, "a", 1, 0}});
+  for (RequestId request = 1; request <= 2; ++request) {
+    Submission job = this->Job({"s", kPeer, request, 4});
+    job.deadline = seconds(120);
+    this->Send(JobSubmitted{request, job});
+    ASSERT_NE(this->Find<SendForward>(), nullptr);
+  }
+  for (int i = 0; i < 110; ++i) {
+    this->Wait(Milliseconds(100));
+  }
+  EXPECT_EQ(this->core.Status(this->now).counters.salvages, 0U);
+  this->Send(ForwardReplied{1, kPeer, Error{ErrorKind::kTimeout, ""}});
+  this->Wait(Milliseconds(200));
+  EXPECT_EQ(this->core.Status(this->now).counters.salvages, 2U);
+}
+
 TEST_F(EntryCoreTest, RepeatedForwardsAreOneWaiter) {
   this->AddAgent(kAgent, "a");
   const Ticket ticket = this->NewTicket();
