--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -8,7 +8,7 @@
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
-/// Sets up logging to standard error for this process. Call once, before any thread starts.
+/// Sets up logging to standard output for this process. Call once, before any thread starts.
 void InitLog(std::string_view program, LogLevel lowest);
 
 /// Writes `event=NUMBER NAME DETAILS`, where details are `key=value` pairs. Thread-safe.
