Read a process's CPU and memory in one place

Cause: the entry and the agent each read getrusage and /proc/self/statm for the same two metrics. Ruled out: also merging the load tool's and the operators' HTTP callers; they differ in whether connections are pooled, which matters for resends. Conclusion: process_usage moves from agent to runtime and serves both; the forward table's functions stand in the order of their declarations.

--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "agent/process_usage.h"
 #include "runtime/entropy.h"
 #include "runtime/log.h"
+#include "runtime/process_usage.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/forward_table.cc
+++ b/src/core/forward_table.cc
@@ -62,14 +62,6 @@
   forward.next = now;
 }
 
-void ForwardTable::RetryAll(const Incarnation& target, Time now) {
-  for (auto& [request, forward] : this->forwards) {
-    if (forward.in_flight && forward.target == target) {
-      this->Retry(forward, now);
-    }
-  }
-}
-
 void ForwardTable::Retry(Forward& forward, Time now) {
   forward.in_flight = false;
   forward.taken = false;
@@ -78,4 +70,12 @@
   forward.next = now + forward.backoff;
 }
 
+void ForwardTable::RetryAll(const Incarnation& target, Time now) {
+  for (auto& [request, forward] : this->forwards) {
+    if (forward.in_flight && forward.target == target) {
+      this->Retry(forward, now);
+    }
+  }
+}
+
 }  // namespace quetzalvale
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -1,31 +1,15 @@
 #include "entry/entry_metrics.h"
 
-#include <sys/resource.h>
-#include <unistd.h>
-
-#include <fstream>
-
 #include "core/result.h"
+#include "runtime/process_usage.h"
 
 namespace quetzalvale {
 namespace {
 
-double Seconds(const timeval& time) {
-  constexpr double kMicrosecondsPerSecond = 1e6;
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_usec) / kMicrosecondsPerSecond;
-}
-
 void AddProcess(Metrics& metrics) {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  metrics.Set("process_cpu_seconds_total", Seconds(usage.ru_utime) + Seconds(usage.ru_stime));
-  std::ifstream memory("/proc/self/statm");
-  double pages = 0;
-  double resident_pages = 0;
-  memory >> pages >> resident_pages;
-  metrics.Set("process_resident_memory_bytes",
-              resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE)));
+  const ProcessUsage usage = ReadProcessUsage();
+  metrics.Set("process_cpu_seconds_total", usage.cpu_seconds);
+  metrics.Set("process_resident_memory_bytes", static_cast<double>(usage.resident_bytes));
 }
 
 void AddCounters(Metrics& metrics, const EntryCounters& counters) {
--- a/src/agent/process_usage.cc
+++ b/src/runtime/process_usage.cc
@@ -1,4 +1,4 @@
-#include "agent/process_usage.h"
+#include "runtime/process_usage.h"
 
 #include <sys/resource.h>
 #include <unistd.h>
