--- a/tests/agent_program/agent_process_test.cc
+++ b/tests/agent_program/agent_process_test.cc
@@ -7,7 +7,7 @@
 #include "runtime/ring.h"
 #include "standin/endpoint_server.h"
 #include "tests/agent/agent_fixture.h"
-#include "tests/agent_program/raw_server.h"
+#include "tests/support/loopback_address.h"
 
 namespace quetzalvale {
 namespace {
@@ -15,20 +15,14 @@
 constexpr std::chrono::seconds kPatience{60};
 constexpr int kCallMs = 20000;
 
-/// An address that was free a moment ago.
-std::string FreeAddress() {
-  const RawServer taken({});
-  return taken.Url().substr(std::string("http://").size());
-}
-
 /// An agent with its endpoint, and an entry that records what it receives.
 class AgentProcessTest : public testing::Test {
  protected:
   AgentProcessTest()
-      : entry_address(FreeAddress()),
-        agent_address(FreeAddress()),
-        http_address(FreeAddress()),
-        endpoint_address(FreeAddress()),
+      : entry_address(NextLoopbackAddress()),
+        agent_address(NextLoopbackAddress()),
+        http_address(NextLoopbackAddress()),
+        endpoint_address(NextLoopbackAddress()),
         journal(std::chrono::steady_clock::now(), std::chrono::system_clock::now()),
         endpoint(this->endpoint_address, EndpointOptions(), EndpointControl(), this->journal),
         entry(this->entry_address, "key", 2),
--- a/tests/entry/entry_http_test.cc
+++ b/tests/entry/entry_http_test.cc
@@ -8,14 +8,15 @@
 #include "protocol/codec.h"
 #include "protocol/rpc_client.h"
 #include "standin/platform_server.h"
+#include "tests/support/loopback_address.h"
 
 namespace quetzalvale {
 namespace {
 
-constexpr char kPlatform[] = "127.0.0.1:17421";
-constexpr char kCallers[] = "127.0.0.1:17422";
-constexpr char kInner[] = "127.0.0.1:17423";
-constexpr char kAgent[] = "127.0.0.1:17424";
+const std::string platform_address = NextLoopbackAddress();
+const std::string caller_address = NextLoopbackAddress();
+const std::string inner_address = NextLoopbackAddress();
+const std::string agent_address = NextLoopbackAddress();
 constexpr char kKey[] = "secret";
 constexpr char kToken[] = "token-of-ana";
 constexpr int kTimeoutMs = 60000;
@@ -28,10 +29,10 @@
   settings.name = "e1";
   settings.data_centre = "Marka";
   settings.services = {"shop"};
-  settings.caller_address = kCallers;
-  settings.inner_address = kInner;
-  settings.advertised_address = kInner;
-  settings.platform = std::string("http://") + kPlatform;
+  settings.caller_address = caller_address;
+  settings.inner_address = inner_address;
+  settings.advertised_address = inner_address;
+  settings.platform = "http://" + platform_address;
   settings.shared_key = kKey;
   settings.administrators = {{"ana", Sha256Text(kToken)}};
   return settings;
@@ -40,7 +41,7 @@
 /// Agent that accepts starts; their tasks end when the test says so.
 class FakeAgent {
  public:
-  FakeAgent() : server(kAgent, kKey, 2) {
+  FakeAgent() : server(agent_address, kKey, 2) {
     this->server.Register("start", [this](const Json::Value& parameters) {
       const auto request = Decode<StartRequest>(parameters);
       StartReply reply;
@@ -62,10 +63,10 @@
     message.name = "a1";
     message.service = "shop";
     message.data_centre = "Marka";
-    message.address = kAgent;
+    message.address = agent_address;
     message.worker = {8, 64, 16, 32768, 0};
     message.load.free_slots = 8;
-    RpcClient client(kInner, kKey);
+    RpcClient client(inner_address, kKey);
     const auto reply = client.Call("announce", Encode(message), kTimeoutMs);
     ASSERT_EQ(reply.outcome, RpcOutcome::kOk) << reply.message;
   }
@@ -88,7 +89,7 @@
     }
     message.agent = this->self;
     message.load.free_slots = 8;
-    RpcClient client(kInner, kKey);
+    RpcClient client(inner_address, kKey);
     const auto reply = client.Call("outcomes", Encode(message), kTimeoutMs);
     EXPECT_EQ(reply.outcome, RpcOutcome::kOk) << reply.message;
   }
@@ -154,10 +155,10 @@
            R"(", "team": "web", "kind": "quote", "tasks": [{"payload": 1}, {"payload": "b"}]})";
   }
 
-  PlatformServer platform{kPlatform};
+  PlatformServer platform{platform_address};
   FakeAgent agent;
   EntryProcess entry{Settings(), [] {}};
-  HttpClient client{std::string("http://") + kCallers, kTimeout};
+  HttpClient client{std::string("http://") + caller_address, kTimeout};
 };
 
 TEST_F(EntryHttpTest, JobIsAnsweredWithItsResultsInOrder) {
@@ -239,7 +240,7 @@
   job.insert(1, R"("deadline_ms": 500, )");
   const Reply salvaged = this->Send("POST", jobs_path, job);
   EXPECT_NE(salvaged.body["status"], "complete") << WriteJson(salvaged.body);
-  RpcClient inner(kInner, kKey);
+  RpcClient inner(inner_address, kKey);
   Json::Value nonsense(Json::objectValue);
   nonsense["agent"] = "x";
   EXPECT_EQ(inner.Call("announce", nonsense, kTimeoutMs).outcome, RpcOutcome::kRefused);
@@ -256,7 +257,7 @@
   }
   Json::Value parameters;
   parameters["service"] = "shop";
-  RpcClient inner(kInner, kKey);
+  RpcClient inner(inner_address, kKey);
   const auto reply = inner.Call("configuration", parameters, kTimeoutMs);
   EXPECT_EQ(reply.result["version"], 1);
   EXPECT_EQ(reply.result["document"]["service"], "shop");
--- a/tests/load/request_sender_test.cc
+++ b/tests/load/request_sender_test.cc
@@ -5,6 +5,8 @@
 
 #include <future>
 
+#include "tests/support/loopback_address.h"
+
 namespace quetzalvale {
 namespace {
 
@@ -22,29 +24,18 @@
 };
 
 TEST_F(RequestSenderTest, CarriesMethodTargetBodyAndStatus) {
-  // Ports differ between runs, since one from an earlier run may still be in TIME_WAIT.
-  std::unique_ptr<http_listener> listener;
-  std::string address;
-  for (int port = 28100; port < 28200; ++port) {
-    address = "127.0.0.1:" + std::to_string(port);
-    listener = std::make_unique<http_listener>("http://" + address);
-    listener->support([](web::http::http_request request) {
-      const std::string body = request.extract_utf8string(true).get();
-      request.reply(429, request.method() + " " + request.request_uri().to_string() + " " + body);
-    });
-    try {
-      listener->open().wait();
-      break;
-    } catch (const std::exception&) {
-      listener.reset();
-    }
-  }
-  ASSERT_NE(listener, nullptr);
+  const std::string address = NextLoopbackAddress();
+  http_listener listener("http://" + address);
+  listener.support([](web::http::http_request request) {
+    const std::string body = request.extract_utf8string(true).get();
+    request.reply(429, request.method() + " " + request.request_uri().to_string() + " " + body);
+  });
+  listener.open().wait();
   const LoadReply reply = this->Send({address, "POST", "/v1/services/s/jobs", "{\"a\":1}"});
   EXPECT_EQ(reply.status, 429);
   EXPECT_EQ(reply.body, "POST /v1/services/s/jobs {\"a\":1}");
   EXPECT_EQ(this->Send({address, "DELETE", "/x", ""}).body, "DELETE /x ");
-  listener->close().wait();
+  listener.close().wait();
 }
 
 // A refused connection must end the call; a job would otherwise stay in progress for ever.
--- a/tests/platform/platform_http_test.cc
+++ b/tests/platform/platform_http_test.cc
@@ -7,12 +7,11 @@
 #include "platform/http_table_client.h"
 #include "protocol/codec.h"
 #include "standin/platform_server.h"
+#include "tests/support/loopback_address.h"
 
 namespace quetzalvale {
 namespace {
 
-constexpr char kAddress[] = "127.0.0.1:17411";
-constexpr char kUrl[] = "http://127.0.0.1:17411";
 constexpr std::chrono::milliseconds kTimeout{60000};
 
 class PlatformHttpTest : public testing::Test {
@@ -31,8 +30,10 @@
     return error == nullptr ? PlatformFailure::kConflict : error->failure;
   }
 
-  PlatformServer server{kAddress};
-  HttpTableClient client{kUrl, kTimeout};
+  const std::string address = NextLoopbackAddress();
+  const std::string url = "http://" + this->address;
+  PlatformServer server{this->address};
+  HttpTableClient client{this->url, kTimeout};
 };
 
 TEST_F(PlatformHttpTest, RowsAreWrittenReadScannedAndDeleted) {
@@ -77,7 +78,7 @@
 // A write that the client has given up on may still be applied later.
 TEST_F(PlatformHttpTest, TimeoutIsUnknown) {
   this->Control(R"({"write_latency_ms": 600000})");
-  HttpTableClient impatient(kUrl, std::chrono::milliseconds(300));
+  HttpTableClient impatient(this->url, std::chrono::milliseconds(300));
   EXPECT_EQ(this->FailureOfWrite(impatient), PlatformFailure::kUnknown);
   EXPECT_FALSE(this->server.Store().Read("t", "k"));
   this->server.Stop();
@@ -90,14 +91,14 @@
 }
 
 TEST_F(PlatformHttpTest, ObjectsAreStored) {
-  HttpObjectClient objects(kUrl, kTimeout);
+  HttpObjectClient objects(this->url, kTimeout);
   EXPECT_FALSE(std::get<0>(objects.Get("o/1")));
   EXPECT_FALSE(std::holds_alternative<PlatformError>(objects.Put("o/1", std::string("a\0b", 3))));
   EXPECT_EQ(std::get<0>(objects.Get("o/1")), std::string("a\0b", 3));
 }
 
 TEST_F(PlatformHttpTest, MalformedRequestsAreRefused) {
-  HttpClient raw(kUrl, kTimeout);
+  HttpClient raw(this->url, kTimeout);
   for (const char* body : {"", "x", "[]", "{}", R"({"operations":[]})", R"({"operations":[7]})",
                            R"({"operations":[{"table":1,"key":"k"}]})",
                            R"({"operations":[{"table":"t","key":"k","expected_version":-1}]})"}) {
--- a/tests/protocol/rpc_test.cc
+++ b/tests/protocol/rpc_test.cc
@@ -4,17 +4,17 @@
 
 #include "protocol/rpc_client.h"
 #include "protocol/rpc_server.h"
+#include "tests/support/loopback_address.h"
 
 namespace quetzalvale {
 namespace {
 
-constexpr char kAddress[] = "127.0.0.1:17391";
 constexpr char kKey[] = "secret";
 constexpr int kTimeoutMs = 20000;
 
 class RpcTest : public testing::Test {
  protected:
-  RpcTest() : server(kAddress, kKey, 2) {
+  RpcTest() : server(this->address, kKey, 2) {
     this->server.Register("echo", [](const Json::Value& parameters) { return parameters; });
     this->server.Register("fail", [](const Json::Value&) -> Json::Value {
       throw std::invalid_argument("message.x must be an integer");
@@ -28,11 +28,12 @@
     return parameters;
   }
 
+  const std::string address = NextLoopbackAddress();
   RpcServer server;
 };
 
 TEST_F(RpcTest, ReturnsTheResult) {
-  RpcClient client(kAddress, kKey);
+  RpcClient client(this->address, kKey);
   for (int i = 0; i < 3; ++i) {
     const RpcReply reply = client.Call("echo", Parameters(), kTimeoutMs);
     ASSERT_EQ(reply.outcome, RpcOutcome::kOk) << reply.message;
@@ -41,7 +42,7 @@
 }
 
 TEST_F(RpcTest, MalformedParametersAreRefusedWithTheReason) {
-  RpcClient client(kAddress, kKey);
+  RpcClient client(this->address, kKey);
   const RpcReply reply = client.Call("fail", Parameters(), kTimeoutMs);
   EXPECT_EQ(reply.outcome, RpcOutcome::kRefused);
   EXPECT_NE(reply.message.find("message.x must be an integer"), std::string::npos) << reply.message;
@@ -49,13 +50,13 @@
 
 // Without this check any process on the network could start tasks.
 TEST_F(RpcTest, WrongKeyDoesNotReachTheHandler) {
-  RpcClient client(kAddress, "guess");
+  RpcClient client(this->address, "guess");
   EXPECT_NE(client.Call("echo", Parameters(), kTimeoutMs).outcome, RpcOutcome::kOk);
 }
 
 TEST_F(RpcTest, StoppedServerIsReported) {
   this->server.Stop();
-  RpcClient client(kAddress, kKey);
+  RpcClient client(this->address, kKey);
   EXPECT_NE(client.Call("echo", Parameters(), kTimeoutMs).outcome, RpcOutcome::kOk);
 }
 
