Account for the declared resources of a worker's running tasks

Cause: an agent bounded its tasks by slots only. Cores, memory and accelerators were checked per task and never added up, so that tasks that each fit alone could share accelerators that the worker does not have.

WorkerResources sums what running tasks declare. A task is handed over only when its slot and everything it declares are free; a queued task that does not fit may be overtaken 8 times by tasks that delay it, then what it needs is reserved. A start that neither fits nor finds room in the short queue is refused as busy. AgentLoad reports free cores, memory and accelerators. The agent polls usage every 2 s while tasks run and logs usage above the declaration once per task (event 2024).

Ruled out: summing cores as floating point (the sum drifts); letting nothing pass a reserved task (tasks that take nothing scarce would wait for nothing); freeing the resources of a task with a broken connection at once (the worker goes on with it until its lease ends); comparing summed usage with the current sum of declarations (the lag makes them differ, so usage is per task).

--- a/src/agent/action_runner.cc
+++ b/src/agent/action_runner.cc
@@ -55,6 +55,7 @@
     case 2020:
     case 2021:
     case 2023:
+    case 2024:
       return LogLevel::kWarning;
     case 2018:
     case 2019:
@@ -106,6 +107,8 @@
 
 void ActionRunner::On(const CheckEndpoint& /*action*/) { this->parts.endpoint.Check(); }
 
+void ActionRunner::On(const PollUsage& /*action*/) { this->parts.endpoint.PollUsage(); }
+
 void ActionRunner::On(const SendOutcomes& action) {
   std::vector<TaskKey> tasks;
   tasks.reserve(action.message.outcomes.size());
--- a/src/agent/action_runner.h
+++ b/src/agent/action_runner.h
@@ -39,6 +39,7 @@
   void On(const StopOnEndpoint& action);
   void On(const RenewLeases& action);
   void On(const CheckEndpoint& action);
+  void On(const PollUsage& action);
   void On(const SendOutcomes& action);
   void On(const SendAnnounce& action);
   void On(const FetchConfiguration& action);
--- a/src/agent/endpoint_client.cc
+++ b/src/agent/endpoint_client.cc
@@ -23,12 +23,19 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
+std::string Cores(std::int64_t millicores) {
+  return WriteJson(Json::Value(static_cast<double>(millicores) / 1000));
+}
+
 /// The payload is the caller's JSON text and passes unchanged.
 std::string TaskBody(const StartOnEndpoint& start) {
   return "{\"task\":" + Json::valueToQuotedString(start.task.Text().c_str()) +
          ",\"kind\":" + Json::valueToQuotedString(start.kind.c_str()) +
-         ",\"lease_ms\":" + std::to_string(start.lease.count()) + ",\"payload\":" + start.payload +
-         "}";
+         ",\"lease_ms\":" + std::to_string(start.lease.count()) +
+         ",\"cores\":" + Cores(start.declared.millicores) +
+         ",\"memory_mb\":" + std::to_string(start.declared.memory_mb) +
+         ",\"accelerators\":" + std::to_string(start.declared.accelerators) +
+         ",\"payload\":" + start.payload + "}";
 }
 
 /// Whether the request provably did not reach the endpoint. The error code alone is no proof: an
@@ -64,6 +71,25 @@
   return outcome;
 }
 
+/// Reads the worker's report. Entries that are not well-formed are left out: usage is only logged.
+UsageReported ReadUsage(const HttpResponse& response) {
+  UsageReported report;
+  const Result<Json::Value> parsed = ReadJson(response.body);
+  if (!IsOk(parsed) || !std::get<Json::Value>(parsed).isObject()) {
+    return report;
+  }
+  const Json::Value& tasks = std::get<Json::Value>(parsed)["tasks"];
+  for (const Json::Value& item : tasks.isArray() ? tasks : Json::Value(Json::arrayValue)) {
+    const std::optional<TaskKey> task = TaskKey::Parse(Member(item, "task"));
+    if (task && item["cores"].isNumeric() && item["memory_mb"].isInt64() &&
+        item["accelerators"].isInt()) {
+      report.tasks.push_back({*task, item["cores"].asDouble(), item["memory_mb"].asInt64(),
+                              item["accelerators"].asInt()});
+    }
+  }
+  return report;
+}
+
 AgentEvent ToEvent(const TaskKey& task, const HttpResult& result, Microseconds run_time) {
   if (const auto* failure = std::get_if<HttpFailure>(&result)) {
     if (IsConnectFailure(*failure)) {
@@ -85,6 +111,8 @@
     OutgoingRequest request;
     /// The result tells whether the endpoint is up.
     bool is_check = false;
+    /// The answer is a usage report.
+    bool is_usage = false;
   };
 
   State(const std::string& url, int connections, Metrics& metrics, Report report,
@@ -143,6 +171,7 @@
 
   void SendNow(Control next) {
     const bool is_check = next.is_check;
+    const bool is_usage = next.is_usage;
     {
       const std::shared_lock lock(this->closing);
       if (this->closed) {
@@ -151,16 +180,20 @@
       this->metrics.Add("endpoint_requests_total");
     }
     auto self = this->shared_from_this();
-    this->control.Send(std::move(next.request), [self, is_check](const HttpResult& result) {
-      self->ControlEnded(is_check, result);
-    });
+    this->control.Send(std::move(next.request),
+                       [self, is_check, is_usage](const HttpResult& result) {
+                         self->ControlEnded(is_check, is_usage, result);
+                       });
   }
 
-  void ControlEnded(bool is_check, const HttpResult& result) {
+  void ControlEnded(bool is_check, bool is_usage, const HttpResult& result) {
     const auto* response = std::get_if<HttpResponse>(&result);
     if (is_check) {
       this->ReportUnlessClosed(EndpointChecked{response != nullptr && response->status == kOk});
     }
+    if (is_usage && response != nullptr && response->status == kOk) {
+      this->ReportUnlessClosed(ReadUsage(*response));
+    }
     std::optional<Control> next;
     {
       const std::lock_guard lock(this->mutex);
@@ -242,4 +275,8 @@
   this->state->SendControl({OutgoingRequest{"GET", "/usage", "", "", false}, true});
 }
 
+void EndpointClient::PollUsage() {
+  this->state->SendControl({OutgoingRequest{"GET", "/usage", "", "", false}, false, true});
+}
+
 }  // namespace quetzalvale
--- a/src/agent/endpoint_client.h
+++ b/src/agent/endpoint_client.h
@@ -21,8 +21,8 @@
 /// Thread-safe.
 class EndpointClient {
  public:
-  /// Receives EndpointFinished, EndpointRefused and EndpointChecked on a thread of the HTTP
-  /// library, or on the calling thread when nothing was sent.
+  /// Receives EndpointFinished, EndpointRefused, EndpointChecked and UsageReported on a thread of
+  /// the HTTP library, or on the calling thread when nothing was sent.
   using Report = std::function<void(AgentEvent)>;
 
   /// Returns the client for one task request. A test can share one client to show the fault that
@@ -43,6 +43,8 @@
   void Stop(const TaskKey& task);
   void Renew(const std::vector<TaskKey>& tasks, Milliseconds lease);
   void Check();
+  /// Asks what the endpoint's tasks use. No answer says nothing about whether the endpoint is up.
+  void PollUsage();
 
  private:
   struct State;
--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -27,16 +27,19 @@
       channels([this](const Incarnation& owner) {
         return !this->store.HasUnfinished(owner) && !this->outcomes.HasPending(owner);
       }),
+      resources(this->identity.worker),
       announcer(seed_entry_addresses) {}
 
 std::vector<AgentAction> AgentCore::Handle(Time time, const AgentEvent& event) {
   this->now = time;
   this->NoteGap();
+  this->ReleaseHeld();
   std::visit([this](const auto& concrete) { this->On(concrete); }, event);
   this->EndExpired();
   this->FillSlots();
   this->RenewDueLeases();
   this->CheckEndpointIfDue();
+  this->PollUsageIfDue();
   this->SendDueOutcomes();
   this->AnnounceIfDue();
   this->CloseOwners();
@@ -48,9 +51,13 @@
 
 AgentLoad AgentCore::Load() const {
   AgentLoad load;
-  const auto used = static_cast<int>(this->store.Running() + this->store.Queued());
   if (!this->leaving && this->endpoint.IsUp()) {
-    load.free_slots = std::max(0, this->identity.worker.slots - used);
+    const Resources free = this->FreeForNewTasks();
+    const WorkerCapacity& worker = this->identity.worker;
+    load.free_slots = static_cast<int>(std::max<std::int64_t>(0, free.slots));
+    load.free_cores = worker.cores > 0 ? static_cast<double>(free.millicores) / 1000 : 0;
+    load.free_memory_mb = worker.memory_mb > 0 ? free.memory_mb : 0;
+    load.free_accelerators = static_cast<int>(free.accelerators);
   }
   load.queued = static_cast<int>(this->store.Queued());
   load.configuration_version = this->configuration->version;
--- a/src/core/agent_core.h
+++ b/src/core/agent_core.h
@@ -3,8 +3,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +23,7 @@
 #include "core/service_configuration.h"
 #include "core/started_tickets.h"
 #include "core/task_store.h"
+#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
@@ -68,6 +71,7 @@
   void On(const EndpointFinished& event);
   void On(const EndpointRefused& event);
   void On(const EndpointChecked& event);
+  void On(const UsageReported& event);
   void On(const OutcomesReplied& event);
   void On(const AnnounceReplied& event);
   void On(const AgentConfigurationChanged& event);
@@ -77,7 +81,8 @@
   StartRefusal Decide(const StartRequest& request, const StartItem& item, StartReply* reply);
   StartRefusal DecideKnown(const TaskRecord& record, StartReply* reply) const;
   StartRefusal DecideNew(const StartRequest& request, const StartItem& item);
-  bool IsBusy() const;
+  /// Whether the task would neither start now nor find room in the queue.
+  bool IsBusy(const Resources& task) const;
 
   TaskReport Withdraw(const WithdrawRequest& request, const WithdrawItem& item);
   TaskReport Report(const TaskKey& task) const;
@@ -91,8 +96,20 @@
 
   void NoteGap();
   void EndExpired();
+  /// Hands over what may start, oldest first.
   void FillSlots();
-  void HandOver(const TaskKey& task);
+  /// Whether a task behind `ahead` may start now: a slot and all that it declares are free, and it
+  /// delays no task ahead that was overtaken too often.
+  bool MayStart(const Resources& task, std::span<const TaskKey> ahead) const;
+  void HandOver(const TaskKey& task, std::span<const TaskKey> ahead);
+  /// What a new task may take now.
+  Resources FreeForNewTasks() const;
+  void EndRunning(const TaskKey& task, Outcome outcome, bool refused);
+  /// Keeps what a task declares taken although its connection broke, because it may go on until its
+  /// lease ends.
+  void HoldUntilLeaseEnds(const TaskKey& task);
+  void ReleaseHeld();
+  void PollUsageIfDue();
   void RenewDueLeases();
   void SendDueOutcomes();
   void AnnounceIfDue();
@@ -110,6 +127,10 @@
   StartedTickets started;
   SealedTickets sealed;
   ChannelTable channels;
+  WorkerResources resources;
+  /// Cores, memory and accelerators of tasks whose connection broke, by the end of their lease.
+  std::multimap<Time, Resources> held;
+  Time next_usage_poll{};
   LeaseKeeper leases;
   OutcomeSender outcomes;
   Announcer announcer;
--- a/src/core/agent_core_endpoint.cc
+++ b/src/core/agent_core_endpoint.cc
@@ -10,6 +10,21 @@
 /// Reason of EndpointRefused that says that no connection to the endpoint was made.
 constexpr std::string_view kUnreachable = "unreachable";
 
+/// Usage is only logged, so that a low rate is enough.
+constexpr Milliseconds kUsagePeriod{2000};
+
+/// A task that declares no cores or no memory has no bound for them to exceed.
+bool IsAbove(const Resources& used, const Resources& declared) {
+  return (declared.millicores > 0 && used.millicores > declared.millicores) ||
+         (declared.memory_mb > 0 && used.memory_mb > declared.memory_mb) ||
+         used.accelerators > declared.accelerators;
+}
+
+std::string Describe(const Resources& amounts) {
+  return std::to_string(amounts.millicores) + "_millicores," + std::to_string(amounts.memory_mb) +
+         "_mb," + std::to_string(amounts.accelerators) + "_accelerators";
+}
+
 }  // namespace
 
 void AgentCore::On(const EndpointFinished& event) {
@@ -27,11 +42,10 @@
   } else {
     this->LogLine(2020, "task_connection_lost",
                   "task=" + event.task.Text() + " error=" + GetError(event.outcome).message);
+    this->HoldUntilLeaseEnds(event.task);
     this->endpoint.Suspect(this->now);
   }
-  this->leases.Remove(event.task);
-  this->store.Finish(event.task, std::move(outcome));
-  this->Deliver(event.task);
+  this->EndRunning(event.task, std::move(outcome), false);
 }
 
 void AgentCore::On(const EndpointRefused& event) {
@@ -41,15 +55,67 @@
   }
   this->LogLine(2019, "task_refused_by_endpoint",
                 "task=" + event.task.Text() + " reason=" + event.reason);
-  this->leases.Remove(event.task);
   this->started.Forget(event.task);
-  this->store.Finish(event.task, FailedOutcome(event.task, kNotRun), true);
-  this->Deliver(event.task);
+  this->EndRunning(event.task, FailedOutcome(event.task, kNotRun), true);
   if (event.reason == kUnreachable) {
     this->endpoint.Suspect(this->now);
   }
 }
 
+void AgentCore::EndRunning(const TaskKey& task, Outcome outcome, bool refused) {
+  this->leases.Remove(task);
+  this->resources.Give(this->store.Find(task)->declared);
+  this->store.Finish(task, std::move(outcome), refused);
+  this->Deliver(task);
+}
+
+void AgentCore::HoldUntilLeaseEnds(const TaskKey& task) {
+  const TaskRecord& record = *this->store.Find(task);
+  Resources declared = record.declared;
+  // The worker itself refuses a task when its slots are taken, so that a lost slot costs no lease.
+  declared.slots = 0;
+  if (declared == Resources()) {
+    return;
+  }
+  this->resources.Take(declared);
+  // The last renewal was sent at the latest now.
+  this->held.emplace(this->now + record.lease, declared);
+}
+
+void AgentCore::ReleaseHeld() {
+  while (!this->held.empty() && this->held.begin()->first <= this->now) {
+    this->resources.Give(this->held.begin()->second);
+    this->held.erase(this->held.begin());
+  }
+}
+
+void AgentCore::PollUsageIfDue() {
+  if (this->store.Running() == 0 || this->now < this->next_usage_poll) {
+    return;
+  }
+  this->next_usage_poll = this->now + kUsagePeriod;
+  this->actions.emplace_back(PollUsage{});
+}
+
+void AgentCore::On(const UsageReported& event) {
+  for (const TaskUsage& usage : event.tasks) {
+    const TaskRecord* record = this->store.Find(usage.task);
+    if (record == nullptr || record->usage_logged) {
+      continue;
+    }
+    TaskSpec used;
+    used.cores = usage.cores;
+    used.memory_mb = usage.memory_mb;
+    used.accelerators = usage.accelerators;
+    if (IsAbove(DeclaredBy(used), record->declared)) {
+      this->store.NoteUsageLogged(usage.task);
+      this->LogLine(2024, "usage_above_declaration",
+                    "task=" + usage.task.Text() + " kind=" + record->kind + " used=" +
+                        Describe(DeclaredBy(used)) + " declared=" + Describe(record->declared));
+    }
+  }
+}
+
 void AgentCore::On(const EndpointChecked& event) {
   const bool was_up = this->endpoint.IsUp();
   const bool tell = this->endpoint.Checked(event.up, this->now);
--- a/src/core/agent_core_starts.cc
+++ b/src/core/agent_core_starts.cc
@@ -6,6 +6,13 @@
 #include "core/outcome_reasons.h"
 
 namespace quetzalvale {
+namespace {
+
+/// Later tasks that may delay a queued task before what it needs is reserved. At the usual run
+/// times of 50 ms to 1 s and eight slots, the reservation begins within seconds.
+constexpr int kMaxOvertaken = 8;
+
+}  // namespace
 
 void AgentCore::On(const StartReceived& event) {
   const StartRequest& message = event.message;
@@ -24,9 +31,10 @@
     this->outcomes.HeardFrom(message.owner, message.owner_address, this->now);
     for (const auto& item : message.items) {
       reply.decisions.push_back(this->Decide(message, item, &reply));
+      // Whether the next task is refused as busy depends on what this one takes.
+      this->FillSlots();
     }
   }
-  this->FillSlots();
   reply.load = this->Load();
   this->actions.emplace_back(ReplyStart{event.request, std::move(reply)});
   this->announcer.Learn(message.owner_address, this->now);
@@ -83,12 +91,14 @@
   if (!this->endpoint.IsUp()) {
     return StartRefusal::kEndpointDown;
   }
-  if (this->IsBusy() || !this->store.MakeRoom(item.spec.payload.size())) {
+  const Resources declared = DeclaredBy(item.spec);
+  if (this->IsBusy(declared) || !this->store.MakeRoom(item.spec.payload.size())) {
     return StartRefusal::kBusy;
   }
   TaskRecord record;
   record.channel_sequence = request.channel_sequence;
   record.kind = item.kind;
+  record.declared = declared;
   record.payload = item.spec.payload;
   record.lease = request.lease > Milliseconds(0) ? request.lease : this->configuration->lease;
   record.deadline = this->now + item.time_left;
@@ -96,9 +106,12 @@
   return StartRefusal::kNone;
 }
 
-bool AgentCore::IsBusy() const {
-  const auto slots = static_cast<std::size_t>(std::max(0, this->identity.worker.slots));
-  return this->store.Running() + this->store.Queued() >= slots + this->configuration->agent_queue;
+bool AgentCore::IsBusy(const Resources& task) const {
+  if (!this->resources.EverFits(task)) {
+    return true;
+  }
+  return this->store.Queued() >= this->configuration->agent_queue &&
+         !this->MayStart(task, this->store.QueuedTasks());
 }
 
 void AgentCore::EndExpired() {
@@ -110,26 +123,58 @@
 }
 
 void AgentCore::FillSlots() {
-  const auto slots = static_cast<std::size_t>(std::max(0, this->identity.worker.slots));
-  while (this->endpoint.IsUp() && this->store.Running() < slots) {
-    const std::optional<TaskKey> next = this->store.FirstQueued();
-    if (!next) {
-      return;
-    }
-    // After a freeze the time left may be over although no tick has said so yet.
-    if (this->guards.has_time_left(this->now, this->store.Find(*next)->deadline)) {
-      this->HandOver(*next);
+  if (!this->endpoint.IsUp()) {
+    return;
+  }
+  std::vector<TaskKey> ahead;
+  for (const auto& task : this->store.QueuedTasks()) {
+    const TaskRecord& record = *this->store.Find(task);
+    if (!this->guards.has_time_left(this->now, record.deadline)) {
+      // After a freeze the time left may be over although no tick has said so yet.
+      this->FinishNotRun(task, kExpired);
+    } else if (this->MayStart(record.declared, ahead)) {
+      this->HandOver(task, ahead);
     } else {
-      this->FinishNotRun(*next, kExpired);
+      ahead.push_back(task);
+    }
+  }
+}
+
+bool AgentCore::MayStart(const Resources& task, std::span<const TaskKey> ahead) const {
+  if (!this->guards.fits_now(this->resources, task)) {
+    return false;
+  }
+  return std::ranges::none_of(ahead, [&](const TaskKey& earlier) {
+    const TaskRecord& waiting = *this->store.Find(earlier);
+    return waiting.overtaken >= kMaxOvertaken &&
+           Delays(this->resources.Free(), task, waiting.declared);
+  });
+}
+
+Resources AgentCore::FreeForNewTasks() const {
+  Resources free = this->resources.Free();
+  for (const auto& task : this->store.QueuedTasks()) {
+    const TaskRecord& waiting = *this->store.Find(task);
+    if (waiting.overtaken >= kMaxOvertaken) {
+      free = FreeBeside(free, waiting.declared);
     }
   }
+  return free;
 }
 
-void AgentCore::HandOver(const TaskKey& task) {
+void AgentCore::HandOver(const TaskKey& task, std::span<const TaskKey> ahead) {
+  const Resources declared = this->store.Find(task)->declared;
+  for (const auto& earlier : ahead) {
+    if (Delays(this->resources.Free(), declared, this->store.Find(earlier)->declared)) {
+      this->store.NoteOvertaken(earlier);
+    }
+  }
+  this->resources.Take(declared);
   this->started.Note(task);
   StartOnEndpoint start;
   start.task = task;
   start.payload = this->store.HandOver(task);
+  start.declared = declared;
   const TaskRecord& record = *this->store.Find(task);
   start.kind = record.kind;
   start.lease = record.lease;
--- a/src/core/agent_events.h
+++ b/src/core/agent_events.h
@@ -8,6 +8,7 @@
 
 #include "core/entry_events.h"
 #include "core/messages.h"
+#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
@@ -40,6 +41,17 @@
 struct EndpointChecked {
   bool up = false;
 };
+/// What one task used some time ago, as the worker measured it.
+struct TaskUsage {
+  TaskKey task;
+  double cores = 0;
+  std::int64_t memory_mb = 0;
+  int accelerators = 0;
+};
+/// Result of PollUsage. The tasks may have ended since.
+struct UsageReported {
+  std::vector<TaskUsage> tasks;
+};
 /// Result of SendOutcomes.
 struct OutcomesReplied {
   Incarnation owner;
@@ -57,8 +69,8 @@
 };
 
 using AgentEvent = std::variant<StartReceived, WithdrawReceived, SealReceived, EndpointFinished,
-                                EndpointRefused, EndpointChecked, OutcomesReplied, AnnounceReplied,
-                                AgentConfigurationChanged, LeaveRequested, Tick>;
+                                EndpointRefused, EndpointChecked, UsageReported, OutcomesReplied,
+                                AnnounceReplied, AgentConfigurationChanged, LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
@@ -81,6 +93,8 @@
   std::string payload;
   Milliseconds lease{0};
   Milliseconds time_left{0};
+  /// One slot and what the task declares.
+  Resources declared{};
 };
 struct StopOnEndpoint {
   TaskKey task;
@@ -91,6 +105,8 @@
 };
 /// Ask the endpoint whether it is up, without starting anything.
 struct CheckEndpoint {};
+/// Ask the endpoint what its tasks use.
+struct PollUsage {};
 struct SendOutcomes {
   std::string address;
   OutcomesRequest message;
@@ -107,6 +123,7 @@
 
 using AgentAction =
     std::variant<ReplyStart, ReplyWithdraw, ReplySeal, StartOnEndpoint, StopOnEndpoint, RenewLeases,
-                 CheckEndpoint, SendOutcomes, SendAnnounce, FetchConfiguration, LogEvent, Departed>;
+                 CheckEndpoint, PollUsage, SendOutcomes, SendAnnounce, FetchConfiguration, LogEvent,
+                 Departed>;
 
 }  // namespace quetzalvale
--- a/src/core/agent_guards.h
+++ b/src/core/agent_guards.h
@@ -8,6 +8,7 @@
 #include "core/sealed_tickets.h"
 #include "core/started_tickets.h"
 #include "core/types.h"
+#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
@@ -27,6 +28,10 @@
   };
   std::function<bool(const Incarnation&, const Incarnation&)> same_incarnation =
       [](const Incarnation& own, const Incarnation& named) { return own == named; };
+  std::function<bool(const WorkerResources&, const Resources&)> fits_now =
+      [](const WorkerResources& resources, const Resources& task) {
+        return resources.FitsNow(task);
+      };
 };
 
 }  // namespace quetzalvale
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -41,6 +41,11 @@
 /// Load that an agent reports with everything it sends.
 struct AgentLoad {
   int free_slots = 0;
+  /// What no running task declares and no waiting task has reserved. Zero where the worker states
+  /// no capacity.
+  double free_cores = 0;
+  std::int64_t free_memory_mb = 0;
+  int free_accelerators = 0;
   int queued = 0;
   std::uint64_t configuration_version = 0;
   bool leaving = false;
--- a/src/core/task_store.cc
+++ b/src/core/task_store.cc
@@ -44,13 +44,6 @@
   return tasks;
 }
 
-std::optional<TaskKey> TaskStore::FirstQueued() const {
-  if (this->queue.empty()) {
-    return std::nullopt;
-  }
-  return this->queue.front();
-}
-
 std::vector<TaskKey> TaskStore::QueuedTasks() const {
   return {this->queue.begin(), this->queue.end()};
 }
--- a/src/core/task_store.h
+++ b/src/core/task_store.h
@@ -5,12 +5,12 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "core/messages.h"
+#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
@@ -21,6 +21,12 @@
   /// Channel sequence of the start that was accepted.
   std::uint64_t channel_sequence = 0;
   std::string kind;
+  /// One slot and what the task declares.
+  Resources declared;
+  /// How many later tasks were handed over that took what this queued task needs.
+  int overtaken = 0;
+  /// Usage above the declaration was logged.
+  bool usage_logged = false;
   /// Dropped when the task is handed to the endpoint.
   std::string payload;
   Milliseconds lease{0};
@@ -70,10 +76,15 @@
   /// Tasks of the ticket that have a record, in order of index.
   std::vector<TaskKey> TasksOf(const Ticket& ticket) const;
 
-  /// The queued task that was added first.
-  std::optional<TaskKey> FirstQueued() const;
+  /// In the order in which they were added.
   std::vector<TaskKey> QueuedTasks() const;
 
+  /// Counts one more later task that delays this one. Precondition: it is queued.
+  void NoteOvertaken(const TaskKey& task) { ++this->records.at(task).overtaken; }
+
+  /// Precondition: the task has a record.
+  void NoteUsageLogged(const TaskKey& task) { this->records.at(task).usage_logged = true; }
+
   /// Whether the owner has tasks that are queued or running.
   bool HasUnfinished(const Incarnation& owner) const;
 
--- /dev/null
+++ b/src/core/worker_resources.cc
@@ -0,0 +1,94 @@
+#include "core/worker_resources.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace quetzalvale {
+namespace {
+
+constexpr double kMillicoresPerCore = 1000;
+
+/// Far above every declaration, and far enough below the type's limit that sums cannot overflow.
+constexpr std::int64_t kUnlimited = std::numeric_limits<std::int64_t>::max() / 4;
+
+/// Larger declarations fit on no worker. Bounds the sum of any number of them that one message can
+/// carry.
+constexpr std::int64_t kLargestAmount = 1'000'000'000'000;
+
+std::int64_t Amount(std::int64_t value) {
+  return std::clamp<std::int64_t>(value, 0, kLargestAmount);
+}
+
+std::int64_t Millicores(double cores) {
+  constexpr double kMost = static_cast<double>(kLargestAmount);
+  const double millicores = cores * kMillicoresPerCore;
+  return millicores > 0 ? std::llround(std::min(millicores, kMost)) : 0;
+}
+
+std::int64_t Left(std::int64_t free, std::int64_t waiting) {
+  return std::max<std::int64_t>(0, free - waiting);
+}
+
+bool DelaysBy(std::int64_t free, std::int64_t task, std::int64_t waiting) {
+  return task > 0 && waiting > 0 && free - task < waiting;
+}
+
+}  // namespace
+
+Resources& Resources::operator+=(const Resources& other) {
+  this->slots += other.slots;
+  this->millicores += other.millicores;
+  this->memory_mb += other.memory_mb;
+  this->accelerators += other.accelerators;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+  this->slots -= other.slots;
+  this->millicores -= other.millicores;
+  this->memory_mb -= other.memory_mb;
+  this->accelerators -= other.accelerators;
+  return *this;
+}
+
+bool Resources::Covers(const Resources& need) const {
+  // What a task does not need does not matter, even where more is taken than there is.
+  return (need.slots <= 0 || need.slots <= this->slots) &&
+         (need.millicores <= 0 || need.millicores <= this->millicores) &&
+         (need.memory_mb <= 0 || need.memory_mb <= this->memory_mb) &&
+         (need.accelerators <= 0 || need.accelerators <= this->accelerators);
+}
+
+Resources DeclaredBy(const TaskSpec& spec) {
+  return {1, Millicores(spec.cores), Amount(spec.memory_mb), Amount(spec.accelerators)};
+}
+
+Resources CapacityOf(const WorkerCapacity& worker) {
+  return {Amount(worker.slots), worker.cores > 0 ? Millicores(worker.cores) : kUnlimited,
+          worker.memory_mb > 0 ? Amount(worker.memory_mb) : kUnlimited,
+          Amount(worker.accelerators)};
+}
+
+Resources ReportedFree(const WorkerCapacity& worker, const AgentLoad& load) {
+  return {Amount(load.free_slots), worker.cores > 0 ? Millicores(load.free_cores) : kUnlimited,
+          worker.memory_mb > 0 ? Amount(load.free_memory_mb) : kUnlimited,
+          Amount(load.free_accelerators)};
+}
+
+WorkerResources::WorkerResources(const WorkerCapacity& worker)
+    : capacity(CapacityOf(worker)), free(this->capacity) {}
+
+bool Delays(const Resources& free, const Resources& task, const Resources& waiting) {
+  return DelaysBy(free.slots, task.slots, waiting.slots) ||
+         DelaysBy(free.millicores, task.millicores, waiting.millicores) ||
+         DelaysBy(free.memory_mb, task.memory_mb, waiting.memory_mb) ||
+         DelaysBy(free.accelerators, task.accelerators, waiting.accelerators);
+}
+
+Resources FreeBeside(const Resources& free, const Resources& waiting) {
+  return {Left(free.slots, waiting.slots), Left(free.millicores, waiting.millicores),
+          Left(free.memory_mb, waiting.memory_mb), Left(free.accelerators, waiting.accelerators)};
+}
+
+}  // namespace quetzalvale
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -29,6 +29,9 @@
 template <typename V>
 void VisitFields(V& visit, AgentLoad& m) {
   visit("free_slots", m.free_slots);
+  visit("free_cores", m.free_cores);
+  visit("free_memory_mb", m.free_memory_mb);
+  visit("free_accelerators", m.free_accelerators);
   visit("queued", m.queued);
   visit("configuration_version", m.configuration_version);
   visit("leaving", m.leaving);
--- a/tests/agent/agent_property_test.cc
+++ b/tests/agent/agent_property_test.cc
@@ -20,6 +20,17 @@
 /// Messages older than this are lost. Shorter than the retention of records, as in real use.
 constexpr Milliseconds kLongestDelay{1500};
 constexpr Milliseconds kRetention{2000};
+/// As in MakeStart.
+constexpr Milliseconds kLease{3000};
+
+/// Capacity that the declared resources of all tasks on the endpoint may never exceed.
+constexpr WorkerCapacity kWorker{3, 3, 4, 1000, 2};
+
+AgentIdentity SharedWorker() {
+  AgentIdentity identity = MakeIdentity(kWorker.slots);
+  identity.worker = kWorker;
+  return identity;
+}
 
 /// What the owner of a task believes.
 struct OwnerView {
@@ -47,7 +58,7 @@
  public:
   Simulation(std::uint64_t seed, AgentGuards guards)
       : random(seed),
-        core(MakeIdentity(3), {kOwnerAddress}, std::move(guards),
+        core(SharedWorker(), {kOwnerAddress}, std::move(guards),
              TaskStore::Limits{40, 1U << 20U, kRetention}, 200,
              SealedTickets::Limits{20, 60, 100}) {
     this->Feed(EndpointChecked{true});
@@ -136,12 +147,50 @@
       ++view.placements;
     }
     StartRequest request = MakeStart(sequence, tasks, Milliseconds(this->Pick(400)));
+    for (auto& item : request.items) {
+      item.spec = this->DrawSpec();
+    }
     if (this->Pick(20) == 0) {
       request.agent = kOtherAgent;
     }
     this->Send(StartReceived{sequence, request});
   }
 
+  /// Small, large and oversized declarations.
+  TaskSpec DrawSpec() {
+    TaskSpec spec;
+    spec.cores = static_cast<double>(this->Pick(10)) / 2;
+    spec.memory_mb = static_cast<std::int64_t>(this->Pick(8)) * 150;
+    spec.accelerators = static_cast<int>(this->Pick(4)) - 1;
+    spec.accelerators = std::max(0, spec.accelerators);
+    return spec;
+  }
+
+  /// What runs on the endpoint, with tasks whose connection broke and whose lease goes on.
+  void CheckCapacity(const TaskKey& task) {
+    double cores = 0;
+    std::int64_t memory_mb = 0;
+    std::int64_t accelerators = 0;
+    const auto add = [&](const Resources& declared) {
+      cores += static_cast<double>(declared.millicores) / 1000;
+      memory_mb += declared.memory_mb;
+      accelerators += declared.accelerators;
+    };
+    for (const TaskKey& running_task : this->running) {
+      add(this->declared[running_task]);
+    }
+    for (const auto& [end, lingering] : this->lingering) {
+      if (end > this->now) {
+        ++this->seen["hand_over_beside_lingering"];
+        add(lingering);
+      }
+    }
+    if (this->running.size() > static_cast<std::size_t>(kWorker.slots) || cores > kWorker.cores ||
+        memory_mb > kWorker.memory_mb || accelerators > kWorker.accelerators) {
+      this->Fail("declared resources exceed the worker's", task);
+    }
+  }
+
   void WithdrawSome() {
     WithdrawRequest request;
     request.agent = kAgentId;
@@ -181,6 +230,7 @@
         return this->Feed(EndpointRefused{task, "unreachable"});
       case 1:
         this->truth[task].has_ended = true;
+        this->lingering.emplace(this->now + kLease, this->declared[task]);
         return this->Feed(EndpointFinished{task, Error{ErrorKind::kTimeout, "broken"}});
       case 2:
         outcome.reason = "not_run";
@@ -262,6 +312,8 @@
       this->Fail("handed over without an open start", start.task);
     }
     this->running.insert(start.task);
+    this->declared[start.task] = start.declared;
+    this->CheckCapacity(start.task);
   }
 
   /// The agent declared that the starts of the task up to this sequence did and will not run.
@@ -388,6 +440,8 @@
   std::map<TaskKey, OwnerView> owners;
   std::map<TaskKey, Truth> truth;
   std::set<TaskKey> running;
+  std::map<TaskKey, Resources> declared;
+  std::multimap<Time, Resources> lingering;
   std::set<Ticket> sealed;
   std::map<Incarnation, std::uint64_t> channel_sequences;
   std::map<Incarnation, std::uint64_t> tickets;
@@ -421,7 +475,7 @@
        {"handed_over", "repeated", "decision_0", "decision_1", "decision_3", "decision_4",
         "decision_5", "decision_6", "withdrawn_0", "withdrawn_1", "withdrawn_2", "maybe_started",
         "outcome_", "outcome_not_run", "outcome_expired", "outcome_endpoint_lost",
-        "outcome_endpoint_not_run"}) {
+        "outcome_endpoint_not_run", "hand_over_beside_lingering"}) {
     EXPECT_GE(seen[what], 100) << what;
     RecordProperty(what, seen[what]);
   }
@@ -453,6 +507,14 @@
   EXPECT_NE(FirstViolation(guards).find("without time left"), std::string::npos);
 }
 
+TEST(AgentPropertyTest, FailsWithoutTheResourceCheck) {
+  AgentGuards guards;
+  guards.fits_now = [](const WorkerResources& resources, const Resources&) {
+    return resources.Free().slots > 0;
+  };
+  EXPECT_NE(FirstViolation(guards).find("resources exceed"), std::string::npos);
+}
+
 TEST(AgentPropertyTest, FailsWithoutTheIncarnationCheck) {
   AgentGuards guards;
   guards.same_incarnation = [](auto&&...) { return true; };
--- a/tests/protocol/codec_test.cc
+++ b/tests/protocol/codec_test.cc
@@ -43,6 +43,18 @@
   EXPECT_EQ(decoded.configuration_versions, hello.configuration_versions);
 }
 
+// An entry that reads no free accelerators sends the agent none of the tasks that need them.
+TEST(CodecTest, LoadKeepsItsFreeResources) {
+  StartReply reply;
+  reply.load.free_cores = 1.5;
+  reply.load.free_memory_mb = 1LL << 40;
+  reply.load.free_accelerators = 3;
+  const auto decoded = Decode<StartReply>(Encode(reply));
+  EXPECT_EQ(decoded.load.free_cores, 1.5);
+  EXPECT_EQ(decoded.load.free_memory_mb, 1LL << 40);
+  EXPECT_EQ(decoded.load.free_accelerators, 3);
+}
+
 // A field of the wrong type from a faulty peer must be refused by name, not read as zero.
 TEST(CodecTest, WrongFieldIsNamed) {
   Json::Value json = Encode(SampleStart());
