Send declarations to the endpoint and let the stand-in keep their peak

Cause: no record outside the agent told what the tasks on a worker declared together, so that no scenario could judge the agent's accounting.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -48,7 +48,7 @@
 add_executable(quetzalvale-agent src/agent/main.cc)
 target_link_libraries(quetzalvale-agent PRIVATE quetzalvale_agent docopt)
 
-add_library(quetzalvale_standin_endpoint STATIC src/standin/endpoint_journal.cc
+add_library(quetzalvale_standin_endpoint STATIC src/standin/endpoint_control.cc src/standin/endpoint_journal.cc
             src/standin/endpoint_server.cc src/standin/endpoint_worker.cc)
 target_link_libraries(quetzalvale_standin_endpoint PUBLIC quetzalvale_http quetzalvale_protocol)
 add_executable(standin-endpoint src/standin/endpoint_main.cc)
--- a/src/agent/endpoint_client.cc
+++ b/src/agent/endpoint_client.cc
@@ -23,18 +23,27 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-std::string Cores(std::int64_t millicores) {
-  return WriteJson(Json::Value(static_cast<double>(millicores) / 1000));
+/// The members of a task request that say what the task declares; none for what it does not.
+std::string Declared(const Resources& declared) {
+  std::string members;
+  if (declared.millicores > 0) {
+    const double cores = static_cast<double>(declared.millicores) / 1000;
+    members += ",\"cores\":" + WriteJson(Json::Value(cores));
+  }
+  if (declared.memory_mb > 0) {
+    members += ",\"memory_mb\":" + std::to_string(declared.memory_mb);
+  }
+  if (declared.accelerators > 0) {
+    members += ",\"accelerators\":" + std::to_string(declared.accelerators);
+  }
+  return members;
 }
 
 /// The payload is the caller's JSON text and passes unchanged.
 std::string TaskBody(const StartOnEndpoint& start) {
   return "{\"task\":" + Json::valueToQuotedString(start.task.Text().c_str()) +
          ",\"kind\":" + Json::valueToQuotedString(start.kind.c_str()) +
-         ",\"lease_ms\":" + std::to_string(start.lease.count()) +
-         ",\"cores\":" + Cores(start.declared.millicores) +
-         ",\"memory_mb\":" + std::to_string(start.declared.memory_mb) +
-         ",\"accelerators\":" + std::to_string(start.declared.accelerators) +
+         ",\"lease_ms\":" + std::to_string(start.lease.count()) + Declared(start.declared) +
          ",\"payload\":" + start.payload + "}";
 }
 
--- a/src/standin/endpoint_server.cc
+++ b/src/standin/endpoint_server.cc
@@ -1,5 +1,6 @@
 #include "standin/endpoint_server.h"
 
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -22,10 +23,27 @@
   return {status, WriteJson(body)};
 }
 
+/// Amounts that are not given are zero. Returns nothing when one is not a number.
+std::optional<Resources> ReadAmounts(const Json::Value& json) {
+  TaskSpec spec;
+  const Json::Value& cores = json["cores"];
+  const Json::Value& memory = json["memory_mb"];
+  const Json::Value& accelerators = json["accelerators"];
+  if ((!cores.isNull() && !cores.isNumeric()) || (!memory.isNull() && !memory.isInt64()) ||
+      (!accelerators.isNull() && !accelerators.isInt())) {
+    return std::nullopt;
+  }
+  spec.cores = cores.asDouble();
+  spec.memory_mb = memory.asInt64();
+  spec.accelerators = accelerators.asInt();
+  return DeclaredBy(spec);
+}
+
 bool ReadTask(const Json::Value& body, EndpointTask* task) {
   const Json::Value& payload = body["payload"];
   if (!body["task"].isString() || !body["lease_ms"].isInt64() || !payload.isObject() ||
-      !payload["run_ms"].isNumeric() || !(payload["fail"].isNull() || payload["fail"].isBool())) {
+      !payload["run_ms"].isNumeric() || !(payload["uses"].isNull() || payload["uses"].isObject()) ||
+      !(payload["fail"].isNull() || payload["fail"].isBool())) {
     return false;
   }
   task->task = body["task"].asString();
@@ -33,6 +51,14 @@
   task->run_ms = payload["run_ms"].asDouble();
   task->fail = payload["fail"].asBool();
   task->echo = payload["echo"];
+  const std::optional<Resources> declared = ReadAmounts(body);
+  const std::optional<Resources> used =
+      payload["uses"].isNull() ? declared : ReadAmounts(payload["uses"]);
+  if (!declared || !used) {
+    return false;
+  }
+  task->declared = *declared;
+  task->used = *used;
   return task->run_ms >= 0 && task->lease > Milliseconds(0);
 }
 
@@ -109,7 +135,9 @@
     this->worker.Answer(now, respond, {200, WriteJson(this->worker.Usage(now))});
   } else if (path == "/journal") {
     this->worker.Advance(now);
-    respond({200, WriteJson(this->journal.ToJson())});
+    Json::Value journal = this->journal.ToJson();
+    journal["peak_declared"] = this->worker.PeakDeclared();
+    respond({200, WriteJson(journal)});
   } else if (path == "/control") {
     respond({200, WriteJson(ControlToJson(this->worker.Control()))});
   } else if (path == "/metrics") {
@@ -141,7 +169,9 @@
     this->worker.Start(now, task, respond);
   } else {
     this->worker.Answer(now, respond,
-                        Problem(kMalformed, "give task, lease_ms above 0 and payload.run_ms"));
+                        Problem(kMalformed,
+                                "give task, lease_ms above 0 and payload.run_ms; cores, "
+                                "memory_mb and accelerators must be numbers"));
   }
 }
 
--- a/src/standin/endpoint_worker.cc
+++ b/src/standin/endpoint_worker.cc
@@ -28,6 +28,14 @@
   return WriteJson(body);
 }
 
+Json::Value AmountsToJson(const Resources& amounts) {
+  Json::Value json;
+  json["cores"] = static_cast<double>(amounts.millicores) / 1000;
+  json["memory_mb"] = static_cast<Json::Int64>(amounts.memory_mb);
+  json["accelerators"] = static_cast<Json::Int64>(amounts.accelerators);
+  return json;
+}
+
 }  // namespace
 
 EndpointWorker::EndpointWorker(EndpointOptions options, EndpointControl control,
@@ -61,9 +69,18 @@
   } else {
     run.respond = this->CountOpen(std::move(respond));
   }
+  this->CountDeclared(task.declared);
   this->running.emplace(this->next_run++, std::move(run));
 }
 
+void EndpointWorker::CountDeclared(const Resources& task) {
+  this->declared += task;
+  this->peak.slots = std::max(this->peak.slots, this->declared.slots);
+  this->peak.millicores = std::max(this->peak.millicores, this->declared.millicores);
+  this->peak.memory_mb = std::max(this->peak.memory_mb, this->declared.memory_mb);
+  this->peak.accelerators = std::max(this->peak.accelerators, this->declared.accelerators);
+}
+
 void EndpointWorker::FailAtOnce(Time now, const EndpointTask& task, HttpResponder respond) {
   const std::size_t record = this->journal.RecordStart(task.task, now);
   this->journal.RecordEnd(record, "failed", now);
@@ -154,9 +171,29 @@
   usage["slots"] = this->options.slots;
   usage["connections"] = this->options.connections;
   usage["lag_ms"] = static_cast<Json::Int64>(kUsageLag.count());
+  usage["tasks"] = Json::Value(Json::arrayValue);
+  for (const auto& [task, used] : shown.used) {
+    Json::Value item = AmountsToJson(used);
+    item["task"] = task;
+    usage["tasks"].append(std::move(item));
+  }
   return usage;
 }
 
+EndpointWorker::Sample EndpointWorker::TakeSample(Time now) const {
+  Sample sample{now, this->Running()};
+  for (const auto& [number, run] : this->running) {
+    sample.used.emplace_back(run.task.task, run.task.used);
+  }
+  return sample;
+}
+
+Json::Value EndpointWorker::PeakDeclared() const {
+  Json::Value json = AmountsToJson(this->peak);
+  json["slots"] = static_cast<Json::Int64>(this->peak.slots);
+  return json;
+}
+
 void EndpointWorker::SetControl(Time now, const EndpointControl& new_control) {
   this->Advance(now);
   this->control = new_control;
@@ -190,7 +227,7 @@
     }
   }
   if (now >= this->next_sample) {
-    this->samples.push_back(Sample{now, this->Running()});
+    this->samples.push_back(this->TakeSample(now));
     this->next_sample = now + kSamplePeriod;
     while (this->samples.size() > 1 && now - this->samples[1].at >= kUsageLag) {
       this->samples.pop_front();
@@ -219,6 +256,7 @@
                                                      const std::string& body) {
   this->journal.RecordEnd(run->second.record, end, at);
   HttpResponder respond = std::move(run->second.respond);
+  this->declared -= run->second.task.declared;
   const auto next = this->running.erase(run);
   if (respond) {
     this->Answer(at, std::move(respond), HttpResponse{200, body});
@@ -237,72 +275,4 @@
   return due;
 }
 
-// ---- Control ------------------------------------------------------------------------------
-
-namespace {
-
-void Read(const Json::Value& json, double* value, bool* ok) {
-  *ok = *ok && json.isNumeric() && json.asDouble() >= 0;
-  *value = *ok ? json.asDouble() : *value;
-}
-
-void Read(const Json::Value& json, std::int64_t* value, bool* ok) {
-  *ok = *ok && json.isInt64() && json.asInt64() >= 0;
-  *value = *ok ? json.asInt64() : *value;
-}
-
-void Read(const Json::Value& json, bool* value, bool* ok) {
-  *ok = *ok && json.isBool();
-  *value = *ok ? json.asBool() : *value;
-}
-
-/// Calls visit(name, member) for every member.
-template <typename Control, typename Visit>
-void VisitControl(Control& control, const Visit& visit) {
-  visit("speed", control.speed);
-  visit("straggler_share", control.straggler_share);
-  visit("straggler_factor", control.straggler_factor);
-  visit("fail_everything", control.fail_everything);
-  visit("frozen", control.frozen);
-  visit("drop_after_start", control.drop_after_start);
-  visit("added_latency_ms", control.added_latency_ms);
-}
-
-}  // namespace
-
-Result<EndpointControl> ChangeControl(EndpointControl control, const Json::Value& changes) {
-  if (!changes.isObject()) {
-    return Error{ErrorKind::kMalformed, "the body must be an object of switches"};
-  }
-  std::string problem;
-  std::size_t known = 0;
-  VisitControl(control, [&](const char* name, auto& member) {
-    if (!changes.isMember(name)) {
-      return;
-    }
-    ++known;
-    bool ok = true;
-    Read(changes[name], &member, &ok);
-    if (!ok) {
-      problem = std::string(name) + " has the wrong type or is negative";
-    }
-  });
-  if (known != changes.size()) {
-    problem = "an unknown switch is given; GET /control lists all";
-  }
-  if (control.speed <= 0) {
-    problem = "speed must be above 0";
-  }
-  if (!problem.empty()) {
-    return Error{ErrorKind::kMalformed, problem};
-  }
-  return control;
-}
-
-Json::Value ControlToJson(const EndpointControl& control) {
-  Json::Value json;
-  VisitControl(control, [&](const char* name, const auto& member) { json[name] = Encode(member); });
-  return json;
-}
-
 }  // namespace quetzalvale
--- a/src/standin/endpoint_worker.h
+++ b/src/standin/endpoint_worker.h
@@ -13,9 +13,10 @@
 #include <utility>
 #include <vector>
 
-#include "core/result.h"
 #include "core/types.h"
+#include "core/worker_resources.h"
 #include "http/http_messages.h"
+#include "standin/endpoint_control.h"
 #include "standin/endpoint_journal.h"
 
 namespace quetzalvale {
@@ -27,22 +28,6 @@
   std::uint64_t seed = 1;
 };
 
-/// Behaviour that tests switch while the stand-in runs.
-struct EndpointControl {
-  /// Run times are divided by this.
-  double speed = 1;
-  /// Share of the tasks whose run time is multiplied by the factor.
-  double straggler_share = 0;
-  double straggler_factor = 10;
-  /// Every task ends at once and failed.
-  bool fail_everything = false;
-  /// Holds all answers until it is switched off; the work goes on.
-  bool frozen = false;
-  /// Breaks the connection off after the start is recorded; the work goes on.
-  bool drop_after_start = false;
-  std::int64_t added_latency_ms = 0;
-};
-
 struct EndpointTask {
   std::string task;
   Milliseconds lease{0};
@@ -50,6 +35,10 @@
   bool fail = false;
   /// Returned as the result.
   Json::Value echo;
+  /// One slot and what the request declares.
+  Resources declared{1, 0, 0, 0};
+  /// What the task really uses.
+  Resources used{1, 0, 0, 0};
 };
 
 /// Runs tasks on timers: time is passed in, and Advance does what has become due. A task whose
@@ -72,9 +61,13 @@
   /// Finished share of the task's work; nothing when it does not run.
   std::optional<double> Checkpoint(Time now, std::string_view task) const;
 
-  /// Usage as it was kUsageLag ago.
+  /// Usage as it was kUsageLag ago, in total and by task.
   Json::Value Usage(Time now) const;
 
+  /// The highest sums of what tasks running at the same time declared, each of its own moment. A
+  /// test's proof that an agent never shared out more than the worker has.
+  Json::Value PeakDeclared() const;
+
   const EndpointControl& Control() const { return this->control; }
   void SetControl(Time now, const EndpointControl& new_control);
 
@@ -102,6 +95,7 @@
   struct Sample {
     Time at{};
     int running = 0;
+    std::vector<std::pair<std::string, Resources>> used{};
   };
   using RunMap = std::map<std::uint64_t, Run>;
 
@@ -110,6 +104,8 @@
   HttpResponder CountOpen(HttpResponder respond);
   RunMap::iterator End(Time now, RunMap::iterator run, const std::string& end,
                        const std::string& body);
+  void CountDeclared(const Resources& task);
+  Sample TakeSample(Time now) const;
   void EndDue(Time now);
   RunMap::const_iterator Find(std::string_view task) const;
 
@@ -119,6 +115,9 @@
   Random random;
   std::uint64_t next_run = 0;
   RunMap running;
+  /// Sum of what the running tasks declare, and its highest values.
+  Resources declared;
+  Resources peak;
   int open = 0;
   /// Answers waiting for the end of the added latency, or of the freeze.
   std::multimap<Time, std::pair<HttpResponder, HttpResponse>> delayed;
@@ -127,8 +126,4 @@
   Time next_sample{};
 };
 
-/// Changes the members that are given. The error says which one is wrong.
-Result<EndpointControl> ChangeControl(EndpointControl control, const Json::Value& changes);
-Json::Value ControlToJson(const EndpointControl& control);
-
 }  // namespace quetzalvale
--- a/tests/agent_program/endpoint_client_test.cc
+++ b/tests/agent_program/endpoint_client_test.cc
@@ -61,6 +61,32 @@
   EXPECT_EQ(this->metrics.Count("messages_useful_total"), 3U);
 }
 
+// The worker reserves what the request declares.
+TEST_F(EndpointClientTest, SendsWhatTheTaskDeclares) {
+  RawServer server({Response("200 OK", R"({"status":"ok"})")});
+  EndpointClient client(server.Url(), 4, this->metrics, this->Receive());
+  client.Start(StartOnEndpoint{
+      MakeTask(1), "k", "{}", Milliseconds(3000), Milliseconds(1000), {1, 1500, 64, 2}});
+  this->Next();
+  EXPECT_NE(server.Bodies().at(0).find(R"("cores":1.5,"memory_mb":64,"accelerators":2,)"),
+            std::string::npos);
+}
+
+// A malformed report must end neither the agent nor the tasks that it names.
+TEST_F(EndpointClientTest, ReadsUsageAndSkipsWhatIsMalformed) {
+  const std::string task = MakeTask(1).Text();
+  RawServer server({Response("200 OK", R"({"tasks":[3,{"task":"x"},{"task":")" + task +
+                                           R"(","cores":"1"},{"task":")" + task +
+                                           R"(","cores":0.5,"memory_mb":7,"accelerators":1}]})")});
+  EndpointClient client(server.Url(), 4, this->metrics, this->Receive());
+  client.PollUsage();
+  const auto usage = std::get<UsageReported>(this->Next());
+  ASSERT_EQ(usage.tasks.size(), 1U);
+  EXPECT_EQ(usage.tasks[0].task, MakeTask(1));
+  EXPECT_EQ(usage.tasks[0].cores, 0.5);
+  EXPECT_EQ(usage.tasks[0].memory_mb, 7);
+}
+
 // The HTTP library sends a request again when a reused connection closes; the task would run twice.
 TEST_F(EndpointClientTest, ConnectionClosedWithoutAnswerIsNotRetried) {
   RawServer server({""});
--- a/tests/standin_endpoint/endpoint_worker_test.cc
+++ b/tests/standin_endpoint/endpoint_worker_test.cc
@@ -54,6 +54,32 @@
   EXPECT_EQ(this->EndOf(1), "failed");
 }
 
+// Scenarios take the peak as proof that no worker was shared out twice.
+TEST_F(EndpointWorkerTest, KeepsThePeakOfWhatRunningTasksDeclare) {
+  const auto start = [&](int ms, const std::string& name, double run_ms, Resources declared) {
+    this->worker->Start(
+        At(ms), EndpointTask{name, Milliseconds(10000), run_ms, false, 5, declared, {1, 7, 8, 9}},
+        this->Into(&this->answers));
+  };
+  start(0, "a", 100, {1, 1500, 10, 2});
+  start(50, "b", 100, {1, 500, 30, 0});
+  start(120, "c", 10, {1, 0, 20, 1});
+  this->worker->Advance(At(2000));
+  EXPECT_EQ(WriteJson(this->worker->PeakDeclared()),
+            R"({"accelerators":2,"cores":2.0,"memory_mb":50,"slots":2})");
+}
+
+// Usage that is reported at once would hide an agent that relies on it.
+TEST_F(EndpointWorkerTest, UsageByTaskIsReportedWithALag) {
+  this->worker->Start(
+      At(0), EndpointTask{"a", Milliseconds(10000), 500, false, 5, {1, 0, 0, 0}, {1, 250, 8, 1}},
+      this->Into(&this->answers));
+  this->worker->Advance(At(250));
+  EXPECT_EQ(this->worker->Usage(At(900))["tasks"].size(), 0U);
+  EXPECT_EQ(WriteJson(this->worker->Usage(At(1250))["tasks"]),
+            R"([{"accelerators":1,"cores":0.25,"memory_mb":8,"task":"a"}])");
+}
+
 // A refusal is the agent's proof that the task did not run.
 TEST_F(EndpointWorkerTest, RefusedTaskIsNotInTheJournal) {
   this->Start(0, "a", 100);
