Share one event loop between the entry's and the agent's decision threads

Cause: both threads repeated the reserve for results, the wait for room and the handling of results that are posted on the thread itself. Change: EventLoop does all three; CoreThread and AgentThread only translate. Behaviour is unchanged.

--- a/src/agent/agent_thread.cc
+++ b/src/agent/agent_thread.cc
@@ -6,11 +6,8 @@
 namespace {
 
 constexpr std::size_t kRingCapacity = 8192;
-/// Requests from outside leave the rest of the ring to results.
-constexpr std::size_t kRequestCapacity = kRingCapacity / 2;
 /// Queued tasks expire and outcome batches leave within this time of being due.
 constexpr std::chrono::milliseconds kTickPeriod{10};
-constexpr std::chrono::milliseconds kPauseWhenFull{1};
 
 }  // namespace
 
@@ -27,36 +24,13 @@
 
 void AgentThread::Start() { this->loop.Start(); }
 
-void AgentThread::Stop() {
-  this->stopping = true;
-  this->loop.Stop();
-}
+void AgentThread::Stop() { this->loop.Stop(); }
 
-bool AgentThread::PostRequest(AgentEvent event) {
-  return this->loop.Backlog() < kRequestCapacity && this->loop.Post(std::move(event));
-}
+bool AgentThread::PostRequest(AgentEvent event) { return this->loop.PostRequest(std::move(event)); }
 
-void AgentThread::PostResult(AgentEvent event) {
-  if (this->core_thread.load() == std::this_thread::get_id()) {
-    this->deferred.push_back(std::move(event));
-    return;
-  }
-  while (!this->loop.Post(event) && !this->stopping) {
-    std::this_thread::sleep_for(kPauseWhenFull);
-  }
-}
+void AgentThread::PostResult(AgentEvent event) { this->loop.PostResult(std::move(event)); }
 
 void AgentThread::Handle(const AgentEvent& event) {
-  this->core_thread = std::this_thread::get_id();
-  this->HandleOne(event);
-  while (!this->deferred.empty()) {
-    for (const auto& result : std::exchange(this->deferred, {})) {
-      this->HandleOne(result);
-    }
-  }
-}
-
-void AgentThread::HandleOne(const AgentEvent& event) {
   for (const auto& action : this->core.Handle(this->clock.Now(), event)) {
     this->run(action);
   }
--- a/src/agent/agent_thread.h
+++ b/src/agent/agent_thread.h
@@ -4,8 +4,6 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
-#include <thread>
-#include <vector>
 
 #include "core/agent_core.h"
 #include "runtime/clock.h"
@@ -45,21 +43,16 @@
 
  private:
   void Handle(const AgentEvent& event);
-  void HandleOne(const AgentEvent& event);
   void CountOutcomes();
 
   AgentCore& core;
   const Clock& clock;
   Metrics& metrics;
   Runner run;
-  std::atomic<std::thread::id> core_thread{};
-  std::atomic<bool> stopping{false};
   std::atomic<bool> ready{false};
   std::uint64_t counted_sent = 0;
   std::uint64_t counted_repeated = 0;
   std::uint64_t counted_useful = 0;
-  /// Results posted on the core thread itself, which must not wait for room in its own ring.
-  std::vector<AgentEvent> deferred;
   EventLoop<AgentEvent> loop;
 };
 
--- a/src/entry/core_thread.h
+++ b/src/entry/core_thread.h
@@ -1,9 +1,6 @@
 /// The thread that owns an entry's decision logic.
 #pragma once
 
-#include <atomic>
-#include <chrono>
-#include <cstdint>
 #include <functional>
 #include <variant>
 #include <vector>
@@ -53,18 +50,10 @@
 
   void Handle(const Item& item);
   void HandleEvent(Time posted, const EntryEvent& event);
-  /// Handles the results that actions gave at once, on the core thread.
-  void HandleDeferred();
-  void Tick();
-  bool IsCoreThread() const;
 
   EntryCore core;
   const Clock& clock;
   Runner run;
-  std::atomic<std::thread::id> core_thread{};
-  std::atomic<bool> stopping{false};
-  /// Results posted on the core thread itself, which must not wait for room in its own ring.
-  std::vector<Item> deferred;
   EventLoop<Item> loop;
 };
 
