Claim "not run" only after the ticket or key was looked up

Cause: the caller API refused jobs before the decision logic saw them (entry not ready, overloaded, unknown service, malformed or too large body) with not_run set to true. A resubmission through an entry that had just started was told "not run" while its job ran elsewhere; the caller would then have ordered again. Ruled out: the decision logic, which already answers false while an identity is given. Change: such refusals say not_run only when the body names no job. Refusals of other requests (tickets, paths) carry no such member any more. Test RefusalsBeforeTheLookUpClaimNothingAboutTheJob, which fails before. Also: the audit's parameter limit is refused when it is not a number from 1 to 200, instead of being ignored.

--- a/src/entry/admin_api.cc
+++ b/src/entry/admin_api.cc
@@ -1,6 +1,6 @@
 #include "entry/admin_api.h"
 
-#include <algorithm>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -79,13 +79,20 @@
   return nullptr;
 }
 
-std::uint32_t ParseLimit(const std::map<std::string, std::string>& query) {
+/// Returns the number of audit rows asked for, or nothing when it is out of range.
+std::optional<std::uint32_t> ParseLimit(const std::map<std::string, std::string>& query) {
   const auto found = query.find("limit");
-  const bool digits = found != query.end() && !found->second.empty() && found->second.size() <= 9 &&
-                      found->second.find_first_not_of("0123456789") == std::string::npos;
-  const std::uint32_t limit =
-      digits ? static_cast<std::uint32_t>(std::stoul(found->second)) : kAuditRows;
-  return std::min(limit, kMaxAuditRows);
+  if (found == query.end()) {
+    return kAuditRows;
+  }
+  const std::string& text = found->second;
+  std::uint32_t limit = 0;
+  const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), limit);
+  const bool whole = problem == std::errc() && end == text.data() + text.size();
+  if (!whole || limit == 0 || limit > kMaxAuditRows) {
+    return std::nullopt;
+  }
+  return limit;
 }
 
 }  // namespace
@@ -207,8 +214,14 @@
 }
 
 void AdminApi::GetAudit(const HttpRequest& request, const HttpResponder& respond) {
-  const std::uint32_t limit = ParseLimit(request.query);
-  this->RunOnPool(respond, [this, service = request.path[3], limit] {
+  const auto limit = ParseLimit(request.query);
+  if (!limit) {
+    respond(RenderAdminError({ErrorKind::kMalformed, "limit must be a whole number from 1 to " +
+                                                         std::to_string(kMaxAuditRows)},
+                             false));
+    return;
+  }
+  this->RunOnPool(respond, [this, service = request.path[3], limit = *limit] {
     const auto rows = this->parts.store.Audit(service, limit);
     if (!IsOk(rows)) {
       return RenderAdminError(GetError(rows), false);
--- a/src/entry/answer_json.cc
+++ b/src/entry/answer_json.cc
@@ -40,7 +40,6 @@
   json["status"] = "refused";
   json["error"] = ErrorKindText(error.kind);
   json["message"] = error.message;
-  json["not_run"] = true;
   return json;
 }
 
@@ -50,6 +49,12 @@
   return {HttpStatus(error.kind), WriteJson(RefusalJson(error))};
 }
 
+HttpResponse RenderJobRefusal(const Error& error, bool not_run) {
+  Json::Value json = RefusalJson(error);
+  json["not_run"] = not_run;
+  return {HttpStatus(error.kind), WriteJson(json)};
+}
+
 HttpResponse RenderAnswer(const Answer& answer) {
   Json::Value json;
   if (answer.status == AnswerStatus::kRefused) {
--- a/src/entry/answer_json.h
+++ b/src/entry/answer_json.h
@@ -17,9 +17,13 @@
 
 HttpResponse RenderTickets(const Result<std::vector<Ticket>>& tickets);
 
-/// Returns a refusal: the request had no effect and nothing of the job ran.
+/// Returns the refusal of a request that submits no job; the request had no effect.
 HttpResponse RenderRefusal(const Error& error);
 
+/// Returns the refusal of a job. `not_run` claims that nothing of the job ran, so it must be false
+/// while an earlier submission with the same ticket or key may have run.
+HttpResponse RenderJobRefusal(const Error& error, bool not_run);
+
 /// Returns an error of the administration interface; `applied` tells whether the change took
 /// effect, nothing when that is not known.
 HttpResponse RenderAdminError(const Error& error, std::optional<bool> applied);
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -32,9 +32,11 @@
   }
   const bool collection = path.size() == kCollectionDepth;
   if (!this->book.IsServed(path[2])) {
-    respond(RenderRefusal({ErrorKind::kUnknownService,
-                           "this entry does not serve that service; "
-                           "correct its name or use another entry"}));
+    // Another entry may serve the service and may have run the job.
+    respond(RenderJobRefusal({ErrorKind::kUnknownService,
+                              "this entry does not serve that service; "
+                              "correct its name or use another entry"},
+                             false));
   } else if (collection && path[3] == "tickets") {
     this->HandleTickets(request, respond);
   } else if (collection && path[3] == "jobs") {
@@ -51,8 +53,10 @@
   const RequestId id = ++this->ids;
   this->open.Add(id, respond);
   if (!this->core.PostRequest(make(id))) {
-    this->open.Respond(id, RenderRefusal({ErrorKind::kOverloaded,
-                                          "the entry is overloaded; submit again after a pause"}));
+    // An earlier submission with the same ticket or key may be running.
+    this->open.Respond(id, RenderJobRefusal({ErrorKind::kOverloaded,
+                                             "the entry is overloaded; submit again after a pause"},
+                                            false));
   }
 }
 
@@ -64,14 +68,15 @@
   const std::string& service = request.path[2];
   const auto configuration = this->book.Configuration(service);
   if (!configuration) {
-    respond(RenderRefusal({ErrorKind::kNotReady,
-                           "the service's configuration is not known yet; "
-                           "submit again later or through another entry"}));
+    respond(RenderJobRefusal({ErrorKind::kNotReady,
+                              "the service's configuration is not known yet; "
+                              "submit again later or through another entry"},
+                             NamesNoJob(request.body)));
     return;
   }
   auto submission = ParseJobRequest(service, request.body, configuration->limits.body_bytes);
   if (!IsOk(submission)) {
-    respond(RenderRefusal(GetError(submission)));
+    respond(RenderJobRefusal(GetError(submission), NamesNoJob(request.body)));
     return;
   }
   this->Post(respond, [&submission](RequestId id) {
--- a/src/entry/job_request.cc
+++ b/src/entry/job_request.cc
@@ -223,6 +223,18 @@
   return submission;
 }
 
+bool NamesNoJob(std::string_view body) {
+  const auto parsed = ParseOutsideObject(body);
+  if (!IsOk(parsed)) {
+    return false;
+  }
+  const auto& json = std::get<Json::Value>(parsed);
+  // Text that was never a ticket cannot name a job.
+  const Json::Value& ticket = json["ticket"];
+  const bool has_ticket = ticket.isString() && Ticket::Parse(ticket.asString()).has_value();
+  return !has_ticket && !json.isMember("key");
+}
+
 Result<std::uint32_t> ParseTicketsRequest(std::string_view body) {
   constexpr std::array<std::string_view, 1> kMembers{"count"};
   const auto parsed = ParseOutsideObject(body);
--- a/src/entry/job_request.h
+++ b/src/entry/job_request.h
@@ -17,6 +17,10 @@
 Result<Submission> ParseJobRequest(std::string_view service, std::string_view body,
                                    std::uint64_t max_body_bytes);
 
+/// Whether the body of a refused job carries neither a ticket nor a key, so that no earlier
+/// submission of the same job can have run. False when the body cannot be read.
+bool NamesNoJob(std::string_view body);
+
 /// Parses the body of a request for tickets and returns their number.
 Result<std::uint32_t> ParseTicketsRequest(std::string_view body);
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -40,13 +40,14 @@
 }
 
 HttpResponse TooLarge(std::size_t limit) {
-  return {413,
-          R"({"status":"refused","error":"too_large","not_run":true,"message":"the body exceeds )" +
-              std::to_string(limit) + R"( bytes; split the job"})"};
+  return {
+      413,
+      R"({"status":"refused","error":"too_large","not_run":false,"message":"the body exceeds )" +
+          std::to_string(limit) + R"( bytes; split the job"})"};
 }
 
 HttpResponse Malformed(const std::string& problem) {
-  return {400, R"({"status":"refused","error":"malformed","not_run":true,"message":")" + problem +
+  return {400, R"({"status":"refused","error":"malformed","not_run":false,"message":")" + problem +
                    R"("})"};
 }
 
--- a/tests/entry/entry_http_test.cc
+++ b/tests/entry/entry_http_test.cc
@@ -180,6 +180,33 @@
   EXPECT_EQ(this->Send("GET", jobs_path + "/" + ticket).body["status"], "complete");
 }
 
+// An entry that has just started knows nothing of a job that another entry may have run, and a
+// refusal before the ticket was looked at proves nothing.
+TEST_F(EntryHttpTest, RefusalsBeforeTheLookUpClaimNothingAboutTheJob) {
+  const std::string ticket = "shop~000000000000000000000000000000ff~1~1";
+  const Reply not_ready = this->Send("POST", jobs_path, Job(ticket));
+  EXPECT_EQ(not_ready.body["error"], "not_ready");
+  EXPECT_FALSE(not_ready.body["not_run"].asBool());
+  const std::string other_service = "/v1/services/other/jobs";
+  const Reply unknown = this->Send("POST", other_service, R"({"ticket": "other~ff~1~1"})");
+  EXPECT_EQ(unknown.body["error"], "unknown_service");
+  EXPECT_FALSE(unknown.body["not_run"].asBool());
+  EXPECT_EQ(this->Apply(0, "c1").status, 200);
+  const Reply malformed = this->Send("POST", jobs_path, R"({"ticket": ")" + ticket + R"("})");
+  EXPECT_EQ(malformed.body["error"], "malformed");
+  EXPECT_FALSE(malformed.body["not_run"].asBool());
+  const Reply truncated = this->Send("POST", jobs_path, Job(ticket).substr(0, 60));
+  EXPECT_EQ(truncated.status, 400);
+  EXPECT_FALSE(truncated.body["not_run"].asBool());
+  // The limit may have been higher when the job ran.
+  const Reply large = this->Send("POST", jobs_path, std::string((1U << 20U) + 1, 'x'));
+  EXPECT_EQ(large.status, 413);
+  EXPECT_FALSE(large.body["not_run"].asBool());
+  const Reply nameless = this->Send("POST", jobs_path, R"({"team": "web", "kind": "quote"})");
+  EXPECT_EQ(nameless.body["error"], "no_identity");
+  EXPECT_TRUE(nameless.body["not_run"].asBool());
+}
+
 // A departing entry that closes its listener early breaks the connections of waiting callers.
 TEST_F(EntryHttpTest, DepartureAnswersTheJobsInProgress) {
   EXPECT_EQ(this->Apply(0, "c1").status, 200);
@@ -214,6 +241,11 @@
   EXPECT_EQ(this->Apply(0, "c1").status, 200);
   EXPECT_EQ(this->Apply(0, "c2").status, 409);
   EXPECT_EQ(this->Send("PUT", configuration_path, "{", kToken).status, 400);
+  const std::string audit_path = "/admin/v1/services/shop/audit?limit=";
+  EXPECT_EQ(this->Send("GET", audit_path + "1", "", kToken).body["changes"].size(), 1U);
+  for (const char* limit : {"", "0", "201", "-1", "1x", "99999999999"}) {
+    EXPECT_EQ(this->Send("GET", audit_path + limit, "", kToken).status, 400) << limit;
+  }
   EXPECT_TRUE(
       IsOk(this->platform.Faults().Change(std::get<Json::Value>(ReadJson(R"({"outage": true})")))));
   const Reply refused = this->Apply(1, "c3");
