--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -152,8 +152,7 @@
     ServiceStatus entry;
     entry.service = name;
     entry.configuration_version = service.configuration->version;
-    entry.peer_configuration_version =
-        this->peers.HighestVersion(name, this->Health().agent_dead, status_time);
+    entry.peer_versions = this->peers.Versions(name, this->Health().agent_dead, status_time);
     entry.queued_tasks = service.queue.Size();
     entry.jobs_in_progress = this->jobs.Unanswered(name);
     for (const auto& [incarnation, agent] : this->directory.Agents()) {
@@ -163,7 +162,8 @@
       entry.agents.push_back(
           {agent.announce.name, incarnation, agent.announce.address, agent.outstanding.size(),
            agent.leaving, !service.health.IsAvailable(agent.announce.name),
-           status_time - agent.last_heard >= service.configuration->health.agent_lost});
+           status_time - agent.last_heard >= service.configuration->health.agent_lost, agent.member,
+           agent.announce.load.configuration_version});
     }
     status.services.push_back(std::move(entry));
   }
--- a/src/core/entry_status.h
+++ b/src/core/entry_status.h
@@ -22,14 +22,18 @@
   bool ejected = false;
   /// Not heard for agent_lost_ms.
   bool lost = false;
+  /// Belongs to this entry's subset.
+  bool member = false;
+  /// As the agent reported it last.
+  std::uint64_t configuration_version = 0;
 };
 
 struct ServiceStatus {
   std::string service;
   /// Zero while no configuration is known.
   std::uint64_t configuration_version = 0;
-  /// Highest version that a live peer reports.
-  std::uint64_t peer_configuration_version = 0;
+  /// Versions that live peers serving the service reported last.
+  std::map<Incarnation, std::uint64_t> peer_versions;
   std::vector<AgentStatus> agents;
   /// Tasks that wait at this entry.
   std::size_t queued_tasks = 0;
--- a/src/core/peer_table.cc
+++ b/src/core/peer_table.cc
@@ -298,17 +298,17 @@
   return view;
 }
 
-std::uint64_t PeerTable::HighestVersion(const std::string& service, Time::duration within,
-                                        Time now) const {
-  std::uint64_t highest = 0;
+std::map<Incarnation, std::uint64_t> PeerTable::Versions(const std::string& service,
+                                                         Time::duration within, Time now) const {
+  std::map<Incarnation, std::uint64_t> versions;
   for (const auto& [incarnation, peer] : this->peers) {
     const auto found = peer.configuration_versions.find(service);
     if (found != peer.configuration_versions.end() && !peer.gone &&
         now - peer.last_heard < within) {
-      highest = std::max(highest, found->second);
+      versions[incarnation] = found->second;
     }
   }
-  return highest;
+  return versions;
 }
 
 }  // namespace quetzalvale
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -96,8 +96,9 @@
   /// What is known of the agents that the owner can have used for the ticket.
   RosterView RosterFor(const Ticket& ticket) const;
 
-  /// Highest configuration version of the service that a live peer reports.
-  std::uint64_t HighestVersion(const std::string& service, Time::duration within, Time now) const;
+  /// Configuration version of the service that each live peer serving it reported last.
+  std::map<Incarnation, std::uint64_t> Versions(const std::string& service, Time::duration within,
+                                                Time now) const;
 
  private:
   struct Target {
--- a/src/ctl/apply.cc
+++ b/src/ctl/apply.cc
@@ -4,6 +4,7 @@
 
 #include "ctl/confirmation.h"
 #include "ctl/input_file.h"
+#include "ctl/json_output.h"
 #include "settings/service_document.h"
 
 namespace quetzalvale {
@@ -95,7 +96,7 @@
   result["service"] = this->options.service;
   result["version"] = static_cast<Json::UInt64>(version);
   result["change_id"] = this->options.change_id;
-  this->session.out << result.toStyledString();
+  PrintJson(this->session.out, result);
   return this->options.wait ? this->WaitForConfirmation(version) : ExitCode::kDone;
 }
 
@@ -117,8 +118,7 @@
     const bool late = this->session.clock.Now() >= give_up;
     if (complete || late) {
       this->session.err << confirmed << " of " << confirmation.Processes()
-                        << " processes that tell their version have confirmed version " << version
-                        << "\n";
+                        << " entries and agents have confirmed version " << version << "\n";
       return complete ? ExitCode::kDone : ExitCode::kNotConfirmed;
     }
     this->session.pause(kPauseBetweenPolls);
--- a/src/ctl/confirmation.cc
+++ b/src/ctl/confirmation.cc
@@ -21,9 +21,14 @@
       continue;
     }
     this->AddProcess(status["entry"]["incarnation"].asString(), VersionOf(listed));
+    for (const Json::Value& peer : listed["peers"]) {
+      this->AddProcess(peer["incarnation"].asString(), VersionOf(peer));
+    }
     for (const Json::Value& agent : listed["agents"]) {
-      // An entry that does not report its agents' versions says nothing about them.
-      if (agent.isMember("configuration_version")) {
+      // Others report to this entry seldom, and one that is gone or going never confirms.
+      const bool counts =
+          agent["member"].asBool() && !agent["lost"].asBool() && !agent["leaving"].asBool();
+      if (counts) {
         this->AddProcess(agent["incarnation"].asString(), VersionOf(agent));
       }
     }
--- a/src/ctl/confirmation.h
+++ b/src/ctl/confirmation.h
@@ -9,13 +9,14 @@
 
 namespace quetzalvale {
 
-/// Collects the processes whose versions the entries' status answers tell. An agent that several
-/// entries know counts once, with the highest version that any of them has heard.
+/// Collects the entries and agents whose versions the entries' status answers tell. A process that
+/// several entries know counts once, with the highest version that any of them has heard.
 class Confirmation {
  public:
   explicit Confirmation(std::string service);
 
-  /// Adds one entry and its agents, from the answer to GET /admin/v1/status.
+  /// Adds one entry, its live peers and the agents that it uses, from the answer to GET
+  /// /admin/v1/status.
   void Add(const Json::Value& status);
 
   std::size_t Processes() const { return this->versions.size(); }
--- a/src/ctl/inspect.cc
+++ b/src/ctl/inspect.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "ctl/json_output.h"
+
 namespace quetzalvale {
 
 Inspect::Inspect(Session& session, std::string path) : session(session), path(std::move(path)) {}
@@ -17,7 +19,7 @@
     this->session.err << RefusalMessage(answer) << "\n";
     return ExitCode::kRefused;
   }
-  this->session.out << answer.body.toStyledString();
+  PrintJson(this->session.out, answer.body);
   return ExitCode::kDone;
 }
 
--- a/src/ctl/status.cc
+++ b/src/ctl/status.cc
@@ -1,5 +1,7 @@
 #include "ctl/status.h"
 
+#include "ctl/json_output.h"
+
 namespace quetzalvale {
 
 StatusReport::StatusReport(Session& session) : session(session) {}
@@ -21,7 +23,7 @@
     }
     report.append(answer.body);
   }
-  this->session.out << report.toStyledString();
+  PrintJson(this->session.out, report);
   return code;
 }
 
--- a/src/entry/platform_poller.cc
+++ b/src/entry/platform_poller.cc
@@ -1,5 +1,6 @@
 #include "entry/platform_poller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "runtime/log.h"
@@ -13,12 +14,16 @@
 
 /// Returns the highest version of the service's configuration that a peer reports.
 std::uint64_t PeerVersion(const EntryStatus& status, const std::string& service) {
+  std::uint64_t highest = 0;
   for (const auto& candidate : status.services) {
-    if (candidate.service == service) {
-      return candidate.peer_configuration_version;
+    if (candidate.service != service) {
+      continue;
+    }
+    for (const auto& [peer, version] : candidate.peer_versions) {
+      highest = std::max(highest, version);
     }
   }
-  return 0;
+  return highest;
 }
 
 }  // namespace
--- a/src/entry/status_json.cc
+++ b/src/entry/status_json.cc
@@ -14,9 +14,22 @@
   json["leaving"] = agent.leaving;
   json["ejected"] = agent.ejected;
   json["lost"] = agent.lost;
+  json["member"] = agent.member;
+  json["configuration_version"] = static_cast<Json::UInt64>(agent.configuration_version);
   return json;
 }
 
+Json::Value RenderPeerVersions(const std::map<Incarnation, std::uint64_t>& versions) {
+  Json::Value list(Json::arrayValue);
+  for (const auto& [peer, version] : versions) {
+    Json::Value json;
+    json["incarnation"] = peer.Text();
+    json["configuration_version"] = static_cast<Json::UInt64>(version);
+    list.append(std::move(json));
+  }
+  return list;
+}
+
 Json::Value RenderService(const ServiceStatus& service) {
   Json::Value json;
   json["service"] = service.service;
@@ -27,6 +40,7 @@
   for (const auto& agent : service.agents) {
     json["agents"].append(RenderAgent(agent));
   }
+  json["peers"] = RenderPeerVersions(service.peer_versions);
   return json;
 }
 
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -126,7 +126,7 @@
   this->ExpectReply(200, R"({"changes": [{"change_id": "c", "version": 5}]})");
   Apply apply(this->session, {this->Write(kDocument), "", 4, "c"});
   EXPECT_EQ(apply.Run(), ExitCode::kDone);
-  EXPECT_THAT(this->out.str(), HasSubstr("\"version\" : 5"));
+  EXPECT_THAT(this->out.str(), HasSubstr("\"version\": 5"));
 }
 
 /// Guards against reporting another operator's change as one's own.
@@ -152,6 +152,7 @@
   service["configuration_version"] = entry_version;
   service["agents"][0]["incarnation"] = "w1";
   service["agents"][0]["configuration_version"] = agent_version;
+  service["agents"][0]["member"] = true;
   return json;
 }
 
@@ -164,6 +165,30 @@
   EXPECT_EQ(confirmation.Confirmed(5), 2U);
 }
 
+/// Guards against reporting a change as in force while an entry that was not asked, or an agent,
+/// has not taken it, and against waiting for agents that will never take it.
+TEST(ConfirmationTest, CountsPeersAndTheAgentsInUse) {
+  Json::Value status = StatusOf("e1", 5, 4);
+  Json::Value& service = status["services"][0];
+  service["peers"][0]["incarnation"] = "e2";
+  service["peers"][0]["configuration_version"] = 4;
+  for (const char* state : {"lost", "leaving"}) {
+    Json::Value agent = service["agents"][0];
+    agent["incarnation"] = state;
+    agent[state] = true;
+    service["agents"].append(agent);
+  }
+  Json::Value distant = service["agents"][0];
+  distant["incarnation"] = "w2";
+  distant["member"] = false;
+  service["agents"].append(distant);
+  Confirmation confirmation("s");
+  confirmation.Add(status);
+  EXPECT_EQ(confirmation.Processes(), 3U);
+  EXPECT_EQ(confirmation.Confirmed(5), 1U);
+  EXPECT_EQ(confirmation.Confirmed(4), 3U);
+}
+
 /// Guards against errors that do not say which file is wrong.
 TEST_F(CtlTest, ValidateNamesTheFile) {
   EXPECT_EQ(Validate(this->Write("{"), this->out, this->err).Run(), ExitCode::kInvalid);
