Let an entry be drained by its name

Cause: `quetzalvale-ctl drain entry NAME` looks for the name in the status, which did not carry it, so only the address worked. Change: the status names the entry. Tested in tests/entry.

--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -44,7 +44,8 @@
   quetzalvale-ctl (-h | --help)
 
 FILE is a JSON file, or - for standard input: a service document for validate and apply, an array of
-tasks such as [{"payload": {"item": 5}}] for submit.
+tasks such as [{"payload": {"item": 5}}] for submit. NAME is the name of an agent or entry as status
+prints it; an entry must be among the --entry addresses.
 
 Options:
   --base=VERSION      Version that the change is based on, as printed by show; 0 for a new service.
--- a/src/entry/admin_api.cc
+++ b/src/entry/admin_api.cc
@@ -124,9 +124,10 @@
 }
 
 void AdminApi::HandleStatus(const HttpResponder& respond) {
-  const bool posted = this->parts.core.PostStatusRequest([respond](const EntryStatus& status) {
-    respond({200, WriteJson(RenderStatus(status))});
-  });
+  const bool posted =
+      this->parts.core.PostStatusRequest([this, respond](const EntryStatus& status) {
+        respond({200, WriteJson(RenderStatus(this->parts.name, status))});
+      });
   if (!posted) {
     respond(Overloaded());
   }
--- a/src/entry/admin_api.h
+++ b/src/entry/admin_api.h
@@ -19,6 +19,8 @@
 class AdminApi {
  public:
   struct Parts {
+    /// Name of this entry from its settings.
+    const std::string& name;
     const Administrators& administrators;
     CoreThread& core;
     ConfigurationBook& book;
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -74,8 +74,8 @@
                           }});
   this->callers = std::make_unique<CallerApi>(*this->core, this->open, this->book, this->ids);
   this->admin = std::make_unique<AdminApi>(
-      AdminApi::Parts{this->administrators, *this->core, this->book, this->store,
-                      this->admin_workers, this->senders, this->leave_requested});
+      AdminApi::Parts{this->settings.name, this->administrators, *this->core, this->book,
+                      this->store, this->admin_workers, this->senders, this->leave_requested});
   this->poller = std::make_unique<PlatformPoller>(
       PlatformPoller::Parts{this->book, this->store, this->registry, this->senders,
                             [this] { return this->Status(); }, this->settings.entries});
--- a/src/entry/status_json.cc
+++ b/src/entry/status_json.cc
@@ -46,8 +46,9 @@
 
 }  // namespace
 
-Json::Value RenderStatus(const EntryStatus& status) {
+Json::Value RenderStatus(const std::string& name, const EntryStatus& status) {
   Json::Value json;
+  json["name"] = name;
   json["entry"] = Encode(status.self);
   json["leaving"] = status.leaving;
   json["roster_number"] = static_cast<Json::UInt64>(status.roster_number);
--- a/src/entry/status_json.h
+++ b/src/entry/status_json.h
@@ -3,10 +3,12 @@
 
 #include <json/value.h>
 
+#include <string>
+
 #include "core/entry_status.h"
 
 namespace quetzalvale {
 
-Json::Value RenderStatus(const EntryStatus& status);
+Json::Value RenderStatus(const std::string& name, const EntryStatus& status);
 
 }  // namespace quetzalvale
--- a/tests/entry/entry_http_test.cc
+++ b/tests/entry/entry_http_test.cc
@@ -279,8 +279,10 @@
   EXPECT_EQ(this->Send("GET", "/ready").status, 200);
 }
 
-TEST_F(EntryHttpTest, MetricsAndConfigurationAreServed) {
+TEST_F(EntryHttpTest, MetricsStatusAndConfigurationAreServed) {
   EXPECT_EQ(this->Apply(0, "c1").status, 200);
+  // quetzalvale-ctl finds the entry to drain by this name.
+  EXPECT_EQ(this->Send("GET", "/admin/v1/status", "", kToken).body["name"], "e1");
   const auto result = this->client.SendAndWait({.method = "GET", .target = "/metrics"});
   const std::string text = std::get<HttpResponse>(result).body;
   for (const char* name : {"messages_sent_total ", "messages_useful_total ", "jobs_complete_total ",
