Place tasks by the declared resources that are free

Cause: the entry compared a task with the whole worker, so that it sent tasks that cannot start beside what runs there.

The entry subtracts what it sent since the report and places a task where it fits now. A task that finds a free slot but lacks cores, memory or accelerators joins an agent queue with room; at the entry it would wait behind every smaller task that fits, because only agents reserve. Tasks of one job that declare the same are passed over after the first finds no room, so that they do not use up the round's limit. A busy refusal pauses the agent only when the agent reports room for that task.

Ruled out: a reservation at the entry (several entries would reserve the same worker without knowing of each other); subtracting only tasks that fit (the reply arrives within a round trip, so being cautious until then costs little).

--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -166,7 +166,8 @@
   worker.settings.endpoint = "http://" .. worker.endpoint_address
   worker.settings.worker = {slots = self.slots, connections = self.connections,
                             cores = self.document.worker_limits.cores,
-                            memory_mb = self.document.worker_limits.memory_mb, accelerators = 0}
+                            memory_mb = self.document.worker_limits.memory_mb,
+                            accelerators = self.document.worker_limits.accelerators}
   self.workers[position] = worker
 end
 
@@ -255,7 +256,8 @@
 end
 
 -- Sends a job without waiting and records its call. Options: entry, ticket, key (instead of a ticket),
--- tasks (their number), run_ms (a number or a list to take turns in), kind, team, deadline_ms. The echo of each task is unique, so an answer
+-- tasks (their number), run_ms (a number or a list to take turns in), kind, team, deadline_ms, and what
+-- each task declares: declared_ms, cores, memory_mb, accelerators; uses (what it uses instead). The echo of each task is unique, so an answer
 -- that belongs to another job or task is seen.
 function Cluster:submit(options)
   local job = {cluster = self, entry = options.entry or self.entries[1], ticket = options.ticket,
@@ -267,8 +269,10 @@
     job.echoes[index] = "echo-" .. self.next_echo
     local run_ms = options.run_ms or 50
     if type(run_ms) == "table" then run_ms = run_ms[(index - 1) % #run_ms + 1] end
-    tasks[index] = {payload = {run_ms = run_ms, echo = job.echoes[index], fail = options.fail},
-                    declared_ms = options.declared_ms}
+    tasks[index] = {payload = {run_ms = run_ms, echo = job.echoes[index], fail = options.fail,
+                               uses = options.uses},
+                    declared_ms = options.declared_ms, cores = options.cores,
+                    memory_mb = options.memory_mb, accelerators = options.accelerators}
   end
   job.body = {ticket = job.ticket, key = options.key, team = options.team or self.team, kind = options.kind or self.kind,
               deadline_ms = options.deadline_ms or 30000, tasks = tasks}
@@ -352,6 +356,16 @@
   return starts
 end
 
+-- What each endpoint's tasks declared together at most, by endpoint: {slots, cores, memory_mb,
+-- accelerators}, summed by the stand-in from the requests that it got.
+function Cluster:peaks()
+  local peaks = {}
+  for _, worker in ipairs(self.workers) do
+    peaks[worker.endpoint] = call_ok(worker.endpoint_address, "GET", "/journal").peak_declared
+  end
+  return peaks
+end
+
 -- Number of starts by task.
 function Cluster:starts_by_task()
   local counts = {}
--- a/src/core/agent_directory.cc
+++ b/src/core/agent_directory.cc
@@ -32,13 +32,38 @@
   return fnmatch(escaped.c_str(), name.c_str(), 0) == 0;
 }
 
+void Unreported::Add(const Resources& task, bool waits) {
+  ++this->tasks;
+  this->waiting += waits ? 1 : 0;
+  this->declared += task;
+}
+
+void Unreported::Remove(const Resources& task, bool waits) {
+  --this->tasks;
+  this->waiting -= waits ? 1 : 0;
+  this->declared -= task;
+}
+
+void Unreported::Remove(const Unreported& other) {
+  this->tasks -= other.tasks;
+  this->waiting -= other.waiting;
+  this->declared -= other.declared;
+}
+
 int Agent::FreeSlots() const {
-  return std::max(0, this->announce.load.free_slots - this->unreported);
+  return std::max(0, this->announce.load.free_slots - this->unreported.tasks);
 }
 
 int Agent::Queued() const {
-  return this->announce.load.queued +
-         std::max(0, this->unreported - this->announce.load.free_slots);
+  const int starting = this->unreported.tasks - this->unreported.waiting;
+  return this->announce.load.queued + this->unreported.waiting +
+         std::max(0, starting - this->announce.load.free_slots);
+}
+
+Resources Agent::Free() const {
+  Resources free = ReportedFree(this->announce.worker, this->announce.load);
+  free -= this->unreported.declared;
+  return free;
 }
 
 AgentDirectory::AgentDirectory(Incarnation self) : self(self) {}
--- a/src/core/agent_directory.h
+++ b/src/core/agent_directory.h
@@ -14,9 +14,28 @@
 #include "core/service_configuration.h"
 #include "core/types.h"
 #include "core/withdraw_queue.h"
+#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
+/// What was placed on an agent and is not in its reported load yet.
+struct Unreported {
+  int tasks = 0;
+  /// Those of the tasks that join the agent's queue because not all that they declare is free.
+  int waiting = 0;
+  Resources declared;
+
+  void Add(const Resources& task, bool waits);
+  void Remove(const Resources& task, bool waits);
+  void Remove(const Unreported& other);
+};
+
+/// Tasks of one start without a reply.
+struct OpenStart {
+  std::vector<TaskRef> tasks;
+  Unreported sent;
+};
+
 /// One agent incarnation.
 struct Agent {
   /// The last announcement, with the load of the last report of any kind.
@@ -37,13 +56,14 @@
   /// Tasks placed on the agent and not settled, with their expected run time at speed 1.
   std::map<TaskRef, Microseconds> outstanding;
   /// Starts without a reply, by channel sequence.
-  std::map<std::uint64_t, std::vector<TaskRef>> starts;
-  /// Tasks placed since the last reply, which the reported load does not include.
-  int unreported = 0;
+  std::map<std::uint64_t, OpenStart> starts;
+  Unreported unreported;
   WithdrawQueue withdrawals;
 
   int FreeSlots() const;
   int Queued() const;
+  /// The reported free amounts less what was placed since. May be negative.
+  Resources Free() const;
 };
 
 /// Numbers agents in the order in which they are first used. A ticket uses only agents with
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -75,13 +75,39 @@
     Agent* agent = nullptr;
     Candidate candidate;
     bool probe = false;
+    /// The report is too old to be believed where it says "full".
+    bool stale = false;
+    /// The old report says that neither a slot nor the queue is free.
+    bool finds_out = false;
+    Resources free;
+  };
+
+  /// Agents that may take one task, as positions in the list of usable agents.
+  struct Choices {
+    std::vector<std::size_t> positions;
+    std::vector<Candidate> candidates;
+    /// Positions of candidates with a free slot that lack cores, memory or accelerators now.
+    std::vector<std::size_t> short_of_resources;
+    /// The probe of an ejected endpoint that the task may be.
+    std::optional<std::size_t> probe;
+    bool any_free = false;
+  };
+
+  /// Tasks of one job that declare the same are blocked alike in one round of placement.
+  struct BlockedShape {
+    std::uint64_t job = 0;
+    Resources declared;
+
+    bool operator==(const BlockedShape&) const = default;
   };
 
   enum class Placed {
     kYes,
     /// The policy leaves the task waiting.
     kDeclined,
-    /// No free agent may take the task now.
+    /// No agent may take the task now.
+    kNoRoom,
+    /// The retry budget is used up.
     kBlocked
   };
 
@@ -168,6 +194,14 @@
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
   bool HasRoom(const ServiceState& service, const Agent& agent) const;
+  /// Whether the agent's load is so old that a report that says "full" is not believed any more.
+  bool IsStale(const ServiceState& service, const Agent& agent) const;
+  Choices ChoicesFor(const ServiceState& service, const Job& job, const Task& task,
+                     std::span<const Usable> usable) const;
+  /// Picks the agent by the placement policy; or, when only cores, memory or accelerators are
+  /// missing, the agent whose queue is expected to move soonest.
+  std::optional<std::size_t> Choose(ServiceState& service, const Job& job, const Task& task,
+                                    const Choices& choices, std::uint32_t waiting_ahead);
   Placed Place(ServiceState& service, Job& job, std::uint32_t index, std::vector<Usable>& usable,
                std::uint32_t waiting_ahead);
   bool MayRetry(ServiceState& service, const Task& task);
@@ -180,6 +214,8 @@
   void SettleStart(const StartReply& reply, const Incarnation& agent, std::uint64_t sequence,
                    const std::vector<TaskRef>& tasks);
   void OnRefusal(const TaskRef& task, const Incarnation& agent, StartRefusal refusal);
+  /// Whether a start of the task would find everything that it declares free.
+  bool HasRoomFor(const TaskRef& task, const Agent& agent);
   void ProvenNotRun(const TaskRef& task);
   void Withdraw(const TaskRef& task, bool stop_running);
   void ApplyOutcome(const Incarnation& agent, const Outcome& outcome);
--- a/src/core/entry_core_jobs.cc
+++ b/src/core/entry_core_jobs.cc
@@ -97,7 +97,7 @@
     agent->outstanding.erase(ref);
     agent->withdrawals.Remove(ref);
     if (task.state == JobTaskState::kBatched) {
-      --agent->unreported;
+      agent->unreported.Remove(DeclaredBy(task.spec), task.joins_queue);
     }
   }
   if (task.state == JobTaskState::kBatched) {
--- a/src/core/entry_core_settlement.cc
+++ b/src/core/entry_core_settlement.cc
@@ -44,8 +44,8 @@
   if (node.empty()) {
     return;
   }
-  const std::vector<TaskRef> tasks = std::move(node.mapped());
-  agent->unreported -= static_cast<int>(tasks.size());
+  const std::vector<TaskRef> tasks = std::move(node.mapped().tasks);
+  agent->unreported.Remove(node.mapped().sent);
   if (const auto* reply = std::get_if<StartReply>(&event.reply)) {
     this->SettleStart(*reply, event.agent, event.channel_sequence, tasks);
     return;
@@ -114,8 +114,8 @@
       break;
     case StartRefusal::kBusy:
     case StartRefusal::kEndpointDown:
-      // A busy agent that reports free slots would be asked again at once.
-      if (refusal == StartRefusal::kEndpointDown || agent.FreeSlots() > 0) {
+      // A busy agent that reports room for the task would be asked again at once.
+      if (refusal == StartRefusal::kEndpointDown || this->HasRoomFor(task, agent)) {
         if (this->now >= agent.paused_until) {
           this->Pause(agent);
         }
@@ -127,6 +127,11 @@
   this->ProvenNotRun(task);
 }
 
+bool EntryCore::HasRoomFor(const TaskRef& ref, const Agent& agent) {
+  const Job* job = this->jobs.Find(ref.job);
+  return job != nullptr && agent.Free().Covers(DeclaredBy(job->tasks[ref.index].spec));
+}
+
 void EntryCore::ProvenNotRun(const TaskRef& ref) {
   Job& job = *this->jobs.Find(ref.job);
   Task& task = job.tasks[ref.index];
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -15,6 +15,10 @@
 /// than the tasks of one job, so that such a job does not hold up the others behind it.
 constexpr std::uint32_t kMaxBlocked = 512;
 
+/// Tasks that are passed over in one round because a task of the same job that declares the same
+/// found no room. Passing one over costs a lookup only.
+constexpr std::uint32_t kMaxSkipped = 4096;
+
 /// Placements repeated in spite of an empty retry budget, so that a job of refused tasks does not
 /// wait for other jobs to earn one.
 constexpr Milliseconds kTricklePause{200};
@@ -27,12 +31,6 @@
   return std::ranges::find(agents, agent) != agents.end();
 }
 
-bool Fits(const TaskSpec& spec, const WorkerCapacity& worker) {
-  return (worker.cores <= 0 || spec.cores <= worker.cores) &&
-         (worker.memory_mb <= 0 || spec.memory_mb <= worker.memory_mb) &&
-         spec.accelerators <= std::max(0, worker.accelerators);
-}
-
 }  // namespace
 
 bool EntryCore::HasRoom(const ServiceState& service, const Agent& agent) const {
@@ -45,10 +43,15 @@
   if (agent.FreeSlots() > 0 || agent.Queued() < queue) {
     return true;
   }
+  return this->IsStale(service, agent);
+}
+
+bool EntryCore::IsStale(const ServiceState& service, const Agent& agent) const {
+  const auto& configuration = *service.configuration;
   const Milliseconds believed = configuration.objective == Objective::kMessages
                                     ? configuration.health.heartbeat
                                     : configuration.health.heartbeat / kStalePart;
-  return own == 0 && this->now - agent.load_at >= believed;
+  return agent.outstanding.empty() && this->now - agent.load_at >= believed;
 }
 
 bool EntryCore::MakeUsable(ServiceState& service, Agent& agent, Usable& usable) {
@@ -62,6 +65,8 @@
     return false;
   }
   usable.agent = &agent;
+  usable.stale = this->IsStale(service, agent);
+  usable.free = agent.Free();
   Candidate& candidate = usable.candidate;
   candidate.agent = agent.announce.agent;
   candidate.name = name;
@@ -72,6 +77,7 @@
   const int queue = static_cast<int>(service.configuration->agent_queue);
   if (candidate.free_slots == 0 && candidate.queued >= queue) {
     // The report is old, so one task finds out.
+    usable.finds_out = true;
     candidate.free_slots = 1;
     candidate.queued = 0;
   }
@@ -98,6 +104,8 @@
   std::vector<Usable> usable = this->UsableAgents(service);
   std::uint32_t declined = 0;
   std::uint32_t blocked = 0;
+  std::uint32_t skipped = 0;
+  std::optional<BlockedShape> no_room;
   const auto& items = service.queue.Items();
   for (auto next = items.begin(); next != items.end() && !usable.empty();) {
     // Placing the task takes it out of the queue.
@@ -106,9 +114,17 @@
     if (item.deadline <= this->now) {
       continue;
     }
+    const BlockedShape shape{job.id, DeclaredBy(job.tasks[item.task.index].spec)};
+    if (no_room == shape && skipped < kMaxSkipped) {
+      ++skipped;
+      continue;
+    }
     const Placed placed = this->Place(service, job, item.task.index, usable, declined + blocked);
+    if (placed == Placed::kNoRoom) {
+      no_room = shape;
+    }
     declined += placed == Placed::kDeclined ? 1 : 0;
-    blocked += placed == Placed::kBlocked ? 1 : 0;
+    blocked += placed == Placed::kBlocked || placed == Placed::kNoRoom ? 1 : 0;
     const bool any_free = std::ranges::any_of(
         usable, [](const Usable& entry) { return entry.probe || entry.candidate.free_slots > 0; });
     if (declined >= kMaxDeclined || blocked >= (any_free ? kMaxBlocked : kMaxDeclined)) {
@@ -117,50 +133,82 @@
   }
 }
 
-EntryCore::Placed EntryCore::Place(ServiceState& service, Job& job, std::uint32_t index,
-                                   std::vector<Usable>& usable, std::uint32_t waiting_ahead) {
-  const Task& task = job.tasks[index];
-  std::vector<std::size_t> positions;
-  std::vector<Candidate> candidates;
-  std::optional<std::size_t> chosen;
+EntryCore::Choices EntryCore::ChoicesFor(const ServiceState& service, const Job& job,
+                                         const Task& task, std::span<const Usable> usable) const {
+  Choices choices;
+  const Resources declared = DeclaredBy(task.spec);
+  const int queue = static_cast<int>(service.configuration->agent_queue);
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const Agent& agent = *usable[i].agent;
-    if (agent.first_roster > job.ticket.roster || !Fits(task.spec, agent.announce.worker) ||
+    if (agent.first_roster > job.ticket.roster ||
+        !CapacityOf(agent.announce.worker).Covers(declared) ||
         Contains(job.excluded, agent.announce.agent)) {
       continue;
     }
     if (usable[i].probe) {
-      chosen = i;
-      break;
+      choices.probe = i;
+      return choices;
     }
     Candidate candidate = usable[i].candidate;
-    if (candidate.free_slots <= 0) {
+    const bool full = candidate.queued >= queue;
+    const bool fits =
+        usable[i].finds_out || (usable[i].stale && full) || usable[i].free.Covers(declared);
+    if (!fits && full) {
+      continue;
+    }
+    if (!fits || candidate.free_slots <= 0) {
       // On average half a run is left in the slot that frees itself next.
       const double runs = (0.5 + candidate.queued) / std::max(1, candidate.slots);
       candidate.expected_wait = Microseconds(static_cast<std::int64_t>(
           runs * static_cast<double>(task.expected.count()) / std::max(candidate.speed, 0.01)));
     }
-    positions.push_back(i);
-    candidates.push_back(candidate);
-  }
-  if (!chosen && !candidates.empty()) {
-    PlacementQuery query;
-    query.expected = task.expected;
-    query.time_left = std::chrono::duration_cast<Microseconds>(job.deadline - this->now);
-    query.waiting_ahead = waiting_ahead;
-    const PlacementHook& hook =
-        this->placement_override ? this->placement_override : service.placement;
-    const auto position = hook(candidates, query, this->random);
-    if (position && *position < positions.size()) {
-      chosen = positions[*position];
+    if (!fits && candidate.free_slots > 0) {
+      choices.short_of_resources.push_back(choices.positions.size());
+      candidate.free_slots = 0;
     }
+    choices.any_free = choices.any_free || candidate.free_slots > 0;
+    choices.positions.push_back(i);
+    choices.candidates.push_back(candidate);
+  }
+  return choices;
+}
+
+std::optional<std::size_t> EntryCore::Choose(ServiceState& service, const Job& job,
+                                             const Task& task, const Choices& choices,
+                                             std::uint32_t waiting_ahead) {
+  if (choices.probe || choices.candidates.empty()) {
+    return choices.probe;
+  }
+  PlacementQuery query;
+  query.expected = task.expected;
+  query.time_left = std::chrono::duration_cast<Microseconds>(job.deadline - this->now);
+  query.waiting_ahead = waiting_ahead;
+  const PlacementHook& hook =
+      this->placement_override ? this->placement_override : service.placement;
+  const auto position = hook(choices.candidates, query, this->random);
+  if (position && *position < choices.positions.size()) {
+    return choices.positions[*position];
   }
-  const bool any_free = std::ranges::any_of(
-      candidates, [](const Candidate& candidate) { return candidate.free_slots > 0; });
-  if (!chosen && any_free) {
-    return Placed::kDeclined;
+  if (choices.any_free || choices.short_of_resources.empty()) {
+    return std::nullopt;
+  }
+  // At the entry it would wait behind every smaller task that fits; an agent's queue reserves what
+  // it needs after a while.
+  const std::vector<Candidate>& candidates = choices.candidates;
+  return choices.positions[*std::ranges::min_element(
+      choices.short_of_resources, {}, [&](std::size_t i) { return candidates[i].expected_wait; })];
+}
+
+EntryCore::Placed EntryCore::Place(ServiceState& service, Job& job, std::uint32_t index,
+                                   std::vector<Usable>& usable, std::uint32_t waiting_ahead) {
+  const Task& task = job.tasks[index];
+  const Choices choices = this->ChoicesFor(service, job, task, usable);
+  const std::optional<std::size_t> chosen =
+      this->Choose(service, job, task, choices, waiting_ahead);
+  if (!chosen) {
+    return choices.any_free ? Placed::kDeclined : Placed::kNoRoom;
   }
-  if (!chosen || !this->MayRetry(service, task)) {
+  if (!this->MayRetry(service, task)) {
     return Placed::kBlocked;
   }
   this->Assign(service, job, index, usable[*chosen]);
@@ -205,7 +253,9 @@
   task.channel_sequence = 0;
   task.runs = false;
   agent.outstanding[ref] = task.expected;
-  ++agent.unreported;
+  const Resources declared = DeclaredBy(task.spec);
+  task.joins_queue = agent.FreeSlots() > 0 && !agent.Free().Covers(declared);
+  agent.unreported.Add(declared, task.joins_queue);
   const auto& configuration = *service.configuration;
   const Microseconds delay = configuration.objective == Objective::kMessages
                                  ? configuration.batching.start_delay
@@ -229,7 +279,7 @@
   request.agent = batch.agent;
   request.lease = service.configuration->lease;
   request.configuration_version = service.configuration->version;
-  std::vector<TaskRef> sent;
+  OpenStart start;
   for (const TaskRef& ref : batch.tasks) {
     Job& job = *this->jobs.Find(ref.job);
     const Task& task = job.tasks[ref.index];
@@ -239,19 +289,20 @@
       continue;
     }
     request.items.push_back({{job.ticket, ref.index}, job.kind, task.spec, left});
-    sent.push_back(ref);
+    start.tasks.push_back(ref);
+    start.sent.Add(DeclaredBy(task.spec), task.joins_queue);
   }
-  if (sent.empty()) {
+  if (start.tasks.empty()) {
     return;
   }
   request.channel_sequence = this->directory.NextChannelSequence(agent);
-  for (const TaskRef& ref : sent) {
+  for (const TaskRef& ref : start.tasks) {
     Task& task = this->jobs.Find(ref.job)->tasks[ref.index];
     task.state = JobTaskState::kSent;
     task.channel_sequence = request.channel_sequence;
   }
-  this->counters.tasks_started += sent.size();
-  agent.starts[request.channel_sequence] = std::move(sent);
+  this->counters.tasks_started += start.tasks.size();
+  agent.starts[request.channel_sequence] = std::move(start);
   this->Do(SendStart{agent.announce.address, std::move(request)});
 }
 
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -51,6 +51,8 @@
   /// Set while kBatched or kSent, and kept when the task has ended.
   Incarnation agent;
   std::uint64_t channel_sequence = 0;
+  /// Was placed at the end of the agent's queue, because not all that it declares was free.
+  bool joins_queue = false;
   /// The agent has reported that the task runs.
   bool runs = false;
   /// Placements that were proven not run.
--- a/tests/core/simulation.cc
+++ b/tests/core/simulation.cc
@@ -532,6 +532,8 @@
   for (int i = 0; i < count; ++i) {
     TaskSpec task;
     task.payload = std::to_string(number) + "." + std::to_string(i);
+    // Two of the large tasks do not fit on one worker.
+    task.cores = number % 5 == 0 ? 10 : 1;
     submission.tasks.push_back(task);
   }
   if (this->Chance(0.1)) {
