Use one wrapper of cpprestsdk's client

Cause: src/client, src/load and src/http each wrapped the library's client, so that each fix had to be made three times.

http_call moves to src/http and, like the load generator's sender, now uses HttpClient. Each operator's and scenario's call keeps a client of its own, so that no request is sent again on a closed pooled connection; the agent's task requests are unchanged. The load generator keeps pooled connections, as callers have them; a ticket makes a repeated submission harmless.

Ruled out: a connection of its own for each load request, because that changes what the load figures measure.

--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -5,8 +5,11 @@
 quetzalvale_library(settings quetzalvale_protocol quetzalvale_core)
 list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_settings)
 
+# HTTP, the only users of cpprestsdk.
+quetzalvale_library(http quetzalvale_core cpprest ssl crypto)
+
 # Load generator.
-quetzalvale_library(load quetzalvale_protocol quetzalvale_runtime cpprest ssl crypto)
+quetzalvale_library(load quetzalvale_http quetzalvale_protocol quetzalvale_runtime)
 add_executable(quetzalvale-load src/load/main.cc)
 target_link_libraries(quetzalvale-load PRIVATE quetzalvale_load docopt)
 
@@ -16,23 +19,21 @@
          WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 
 # The operators' command line.
-quetzalvale_library(client quetzalvale_core cpprest ssl crypto)
-quetzalvale_library(ctl quetzalvale_settings quetzalvale_client quetzalvale_protocol quetzalvale_runtime)
+quetzalvale_library(ctl quetzalvale_settings quetzalvale_http quetzalvale_protocol quetzalvale_runtime)
 add_executable(quetzalvale-ctl src/ctl/main.cc)
 target_link_libraries(quetzalvale-ctl PRIVATE quetzalvale_ctl docopt)
-list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_ctl quetzalvale_client)
+list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_ctl)
 
 # The test harness for whole processes. scenarios/*.lua, except the common part lib.lua and the
 # demonstration, are tests.
 find_path(LUA_INCLUDE lua.hpp PATH_SUFFIXES lua5.4 REQUIRED)
-quetzalvale_library(scenario quetzalvale_load quetzalvale_client quetzalvale_protocol quetzalvale_runtime lua5.4 crypto)
+quetzalvale_library(scenario quetzalvale_load quetzalvale_http quetzalvale_protocol quetzalvale_runtime lua5.4 crypto)
 target_include_directories(quetzalvale_scenario SYSTEM PUBLIC ${LUA_INCLUDE})
 add_executable(quetzalvale-scenario src/scenario/main.cc)
 target_link_libraries(quetzalvale-scenario PRIVATE quetzalvale_scenario docopt)
 list(PREPEND QUETZALVALE_LIBRARIES quetzalvale_scenario)
 
 # The platform, its stand-in and the entry.
-quetzalvale_library(http cpprest ssl crypto)
 quetzalvale_library(platform quetzalvale_http quetzalvale_protocol)
 add_library(quetzalvale_standin_platform STATIC src/standin/platform_delay.cc src/standin/platform_faults.cc
             src/standin/platform_server.cc src/standin/platform_store.cc)
--- a/src/ctl/entry_client.h
+++ b/src/ctl/entry_client.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "client/http_call.h"
 #include "core/result.h"
+#include "http/http_call.h"
 
 namespace quetzalvale {
 
--- a/src/client/http_call.h
+++ b/src/http/http_call.h
@@ -1,5 +1,4 @@
-/// HTTP calls of the operators' and test programs (cpprestsdk).
-// cpprestsdk's headers are slow to compile, so only http_call.cc includes them.
+/// HTTP calls of the operators' and test programs on HttpClient.
 #pragma once
 
 #include <chrono>
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -23,6 +23,9 @@
   if (!request.authorization.empty()) {
     message.headers().add("Authorization", request.authorization);
   }
+  for (const auto& [name, value] : request.headers) {
+    message.headers().add(name, value);
+  }
   if (request.once) {
     message.headers().add("Connection", "close");
   }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -20,6 +21,8 @@
   /// Use a connection of its own. cpprestsdk silently sends a request again when a pooled
   /// connection turns out to be closed, so what must be sent at most once needs this.
   bool once = false;
+  /// Further headers.
+  std::map<std::string, std::string> headers{};
 };
 
 /// Why there is no response.
@@ -31,10 +34,10 @@
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
-/// Sends requests to one server. Thread-safe.
+/// Sends requests to one server; the only wrapper of cpprestsdk's client. Thread-safe.
 class HttpClient {
  public:
-  /// `url` is scheme, address and port.
+  /// `url` is scheme, address and port. Throws std::exception when it is malformed.
   HttpClient(const std::string& url, std::chrono::milliseconds timeout);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
--- a/src/load/request_sender.cc
+++ b/src/load/request_sender.cc
@@ -1,66 +1,53 @@
 #include "load/request_sender.h"
 
-#include <cpprest/http_client.h>
-
 #include <map>
 #include <mutex>
 #include <utility>
 
+#include "http/http_client.h"
+
 namespace quetzalvale {
+namespace {
+
+LoadReply ToReply(HttpResult result) {
+  if (auto* response = std::get_if<HttpResponse>(&result)) {
+    return {response->status, std::move(response->body)};
+  }
+  return {0, std::get<HttpFailure>(result).message};
+}
 
-using web::http::http_request;
-using web::http::http_response;
-using web::http::client::http_client;
-using web::http::client::http_client_config;
+}  // namespace
 
 struct RequestSender::State {
-  http_client_config config;
-  std::mutex mutex;
-  std::map<std::string, std::shared_ptr<http_client>> clients;
+  explicit State(std::chrono::milliseconds timeout) : timeout(timeout) {}
 
-  std::shared_ptr<http_client> Client(const std::string& address) {
+  std::shared_ptr<HttpClient> Client(const std::string& address) {
     const std::lock_guard lock(this->mutex);
     auto& client = this->clients[address];
-    if (!client) client = std::make_shared<http_client>("http://" + address, this->config);
+    if (!client) {
+      client = std::make_shared<HttpClient>("http://" + address, this->timeout);
+    }
     return client;
   }
-};
 
-namespace {
-
-LoadReply ReadReply(const pplx::task<std::pair<int, std::string>>& task) {
-  try {
-    auto [status, body] = task.get();
-    return {status, std::move(body)};
-  } catch (const std::exception& error) {
-    return {0, error.what()};
-  }
-}
-
-}  // namespace
+  const std::chrono::milliseconds timeout;
+  std::mutex mutex;
+  std::map<std::string, std::shared_ptr<HttpClient>> clients;
+};
 
-RequestSender::RequestSender(std::chrono::milliseconds timeout) : state(std::make_unique<State>()) {
-  this->state->config.set_timeout(timeout);
-}
+RequestSender::RequestSender(std::chrono::milliseconds timeout)
+    : state(std::make_unique<State>(timeout)) {}
 
 RequestSender::~RequestSender() = default;
 
 void RequestSender::Send(const LoadRequest& request, std::function<void(LoadReply)> done) {
-  http_request message(request.method);
-  message.set_request_uri(web::uri(request.target));
-  if (!request.body.empty()) {
-    message.set_body(request.body, "application/json");
-  }
+  OutgoingRequest outgoing;
+  outgoing.method = request.method;
+  outgoing.target = request.target;
+  outgoing.body = request.body;
   this->state->Client(request.address)
-      ->request(message)
-      .then([](const http_response& response) {
-        const int status = response.status_code();
-        return response.extract_utf8string(true).then(
-            [status](const std::string& body) { return std::pair(status, body); });
-      })
-      .then([done = std::move(done)](const pplx::task<std::pair<int, std::string>>& task) {
-        done(ReadReply(task));
-      });
+      ->Send(std::move(outgoing),
+             [done = std::move(done)](HttpResult result) { done(ToReply(std::move(result))); });
 }
 
 }  // namespace quetzalvale
--- a/src/load/request_sender.h
+++ b/src/load/request_sender.h
@@ -1,5 +1,4 @@
-/// HTTP calls of the load generator (cpprestsdk).
-// cpprestsdk's headers are slow to compile, so only request_sender.cc includes them.
+/// HTTP calls of the load generator.
 #pragma once
 
 #include <chrono>
@@ -28,7 +27,9 @@
 /// Sends a request and calls back exactly once, possibly on another thread.
 using LoadSendHook = std::function<void(const LoadRequest&, std::function<void(LoadReply)>)>;
 
-/// Sends requests over pooled connections. Thread-safe.
+/// Sends requests over pooled connections, as callers do. The HTTP library may send a request again
+/// when a pooled connection turns out to be closed; a job's ticket makes that harmless.
+/// Thread-safe.
 class RequestSender {
  public:
   explicit RequestSender(std::chrono::milliseconds timeout);
--- a/src/scenario/call_records.h
+++ b/src/scenario/call_records.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-#include "client/http_call.h"
+#include "http/http_call.h"
 
 namespace quetzalvale {
 
