--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -46,12 +45,6 @@
  private:
   using TicketAnswers = AnswerStore<Ticket>;
 
-  /// A submission with a caller's own key, while the key is being claimed.
-  struct KeyClaim {
-    Submission submission;
-    bool caller_gone = false;
-  };
-
   /// Why a submission is refused.
   struct Refusal {
     ErrorKind kind = ErrorKind::kInternal;
@@ -128,7 +121,6 @@
   void On(const TicketsRequested& event);
   void On(const JobQueried& event);
   void On(const JobCancelled& event);
-  void On(const CallerGone& event);
   void On(const KeyClaimed& event);
   void On(const AgentAnnounced& event);
   void On(const StartReplied& event);
@@ -276,8 +268,8 @@
   bool withdrawals_changed = false;
 
   /// Tickets of local requests that wait for a job or a salvage.
-  std::unordered_map<RequestId, Ticket> callers;
-  std::map<RequestId, KeyClaim> key_claims;
+  /// Submissions with a caller's own key, while the key is being claimed.
+  std::map<RequestId, Submission> key_claims;
 
   PeerTable peers;
   std::uint64_t told_roster = 0;
--- a/src/core/entry_core_jobs.cc
+++ b/src/core/entry_core_jobs.cc
@@ -29,8 +29,6 @@
 
 void EntryCore::Deliver(const Waiter& waiter, Answer answer) {
   switch (waiter.kind) {
-    case Waiter::Kind::kNobody:
-      return;
     case Waiter::Kind::kPeer:
       this->outbox.Add(waiter.peer, waiter.request, std::move(answer), this->now);
       this->SendAnswers();
@@ -41,7 +39,6 @@
     case Waiter::Kind::kCaller:
       break;
   }
-  this->callers.erase(waiter.request);
   answer.fresh_tickets.clear();
   ServiceState* service = answer.ticket ? this->FindService(answer.ticket->service) : nullptr;
   if (service != nullptr && service->IsConfigured() && !this->IsLeaving()) {
--- a/src/core/entry_core_salvage.cc
+++ b/src/core/entry_core_salvage.cc
@@ -32,7 +32,6 @@
       return;
     }
     found->second.waiters.push_back(waiter);
-    this->callers[waiter.request] = ticket;
     return;
   }
   if (this->salvages.size() >= kMaxSalvages) {
@@ -69,7 +68,6 @@
       Salvage(ticket, submission.tasks.size(), std::move(targets), roster.complete, limits),
       submission.body_hash,
       {waiter}};
-  this->callers[waiter.request] = ticket;
   auto& added = this->salvages.emplace(ticket, std::move(job)).first->second;
   this->SendSeals(ticket, added.salvage);
   this->FinishSalvage(ticket);
--- a/src/core/entry_core_submissions.cc
+++ b/src/core/entry_core_submissions.cc
@@ -92,7 +92,7 @@
         std::nullopt);
     return;
   }
-  this->key_claims[waiter.request] = {submission, false};
+  this->key_claims[waiter.request] = submission;
   this->Do(ClaimKey{waiter.request, submission.service, submission.key, submission.body_hash,
                     tickets.front()});
 }
@@ -102,9 +102,8 @@
   if (node.empty()) {
     return;
   }
-  KeyClaim& claim = node.mapped();
-  const Waiter waiter{
-      claim.caller_gone ? Waiter::Kind::kNobody : Waiter::Kind::kCaller, event.request, {}};
+  Submission& submission = node.mapped();
+  const Waiter waiter{Waiter::Kind::kCaller, event.request, {}};
   if (const auto* error = std::get_if<Error>(&event.ticket)) {
     this->Refuse(waiter,
                  {ErrorKind::kPlatformUnavailable,
@@ -114,8 +113,8 @@
                  std::nullopt);
     return;
   }
-  claim.submission.ticket = std::get<Ticket>(event.ticket);
-  this->Submit(waiter, claim.submission);
+  submission.ticket = std::get<Ticket>(event.ticket);
+  this->Submit(waiter, submission);
 }
 
 bool EntryCore::Attach(Job& job, const Waiter& waiter, std::uint64_t body_hash) {
@@ -131,7 +130,7 @@
     return other.kind == waiter.kind && other.request == waiter.request &&
            other.peer.incarnation == waiter.peer.incarnation;
   });
-  if (known || waiter.kind == Waiter::Kind::kNobody) {
+  if (known) {
     return true;
   }
   if (job.waiters.size() >= kMaxWaiters) {
@@ -142,9 +141,6 @@
     return false;
   }
   job.waiters.push_back(waiter);
-  if (waiter.kind == Waiter::Kind::kCaller) {
-    this->callers[waiter.request] = job.ticket;
-  }
   return true;
 }
 
@@ -418,27 +414,4 @@
   this->Do(AnswerQuery{event.request, this->LookUp(ticket)});
 }
 
-void EntryCore::On(const CallerGone& event) {
-  if (const auto claim = this->key_claims.find(event.request); claim != this->key_claims.end()) {
-    claim->second.caller_gone = true;
-    return;
-  }
-  this->forwards.Erase(event.request);
-  const auto found = this->callers.find(event.request);
-  if (found == this->callers.end()) {
-    return;
-  }
-  const Ticket ticket = found->second;
-  this->callers.erase(found);
-  const auto is_gone = [&](const Waiter& waiter) {
-    return waiter.kind == Waiter::Kind::kCaller && waiter.request == event.request;
-  };
-  if (Job* job = this->jobs.Find(ticket)) {
-    std::erase_if(job->waiters, is_gone);
-  }
-  if (const auto salvage = this->salvages.find(ticket); salvage != this->salvages.end()) {
-    std::erase_if(salvage->second.waiters, is_gone);
-  }
-}
-
 }  // namespace quetzalvale
--- a/src/core/entry_events.h
+++ b/src/core/entry_events.h
@@ -39,10 +39,6 @@
   RequestId request = 0;
   Ticket ticket;
 };
-/// The caller's connection ended; its request needs no answer any more. The job goes on.
-struct CallerGone {
-  RequestId request = 0;
-};
 /// Result of ClaimKey: the ticket that the key belongs to, claimed now or earlier, or an error.
 struct KeyClaimed {
   RequestId request = 0;
@@ -124,7 +120,7 @@
 struct Tick {};
 
 using EntryEvent =
-    std::variant<JobSubmitted, TicketsRequested, JobQueried, JobCancelled, CallerGone, KeyClaimed,
+    std::variant<JobSubmitted, TicketsRequested, JobQueried, JobCancelled, KeyClaimed,
                  AgentAnnounced, StartReplied, WithdrawReplied, SealReplied, OutcomesReceived,
                  HelloReceived, HelloReplied, ForwardReceived, ForwardReplied, AnswerReceived,
                  AnswerReplied, HandOverReceived, HandOverReplied, ConfigurationChanged,
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -64,8 +64,6 @@
 /// Somebody who gets a job's answer.
 struct Waiter {
   enum class Kind {
-    /// The caller has gone; the job goes on.
-    kNobody,
     /// Answered by AnswerCaller.
     kCaller,
     /// Answered by SendAnswer.
@@ -73,7 +71,7 @@
     /// Answered by AnswerQuery.
     kQuery
   };
-  Kind kind = Kind::kNobody;
+  Kind kind = Kind::kCaller;
   RequestId request = 0;
   /// Of kPeer.
   EntryInfo peer;
