Run scenarios with a guard removed, at the real processes

Cause: guards were removed only in the models and in the agent's property tests, so no run showed that the programs themselves depend on them.

Hooks for the entry (core/entry_guards.h) stand beside the agent's, and two test programs replace one hook each. The relay can hold one message while later ones pass, which delays a start beyond its withdrawal.

Ruled out: removing the configuration's version check for guarantee 8, because a stale document reaches an entry only within the two-second timeout of a call, so the run would depend on the machine's speed; the compare-and-set of a change is removed instead. Removing only the agent's channel window while a start is repeated, because the task record also refuses it; a delayed, withdrawn start provokes it.

Checks changed: the checks of lib.lua that state a guarantee now fail as "guarantee N is violated", with the same conditions as before; the check of concurrent changes in two_operators likewise.

--- a/cmake/scenarios.cmake
+++ b/cmake/scenarios.cmake
@@ -9,4 +9,26 @@
     # A scenario starts about ten processes; the timeout is generous for busy machines.
     set_tests_properties(scenario_${scenario} PROPERTIES LABELS scenario TIMEOUT 300 PROCESSORS 3)
   endforeach()
+
+  # Test variants of the programs, from the same libraries, that run without one guard.
+  foreach(role agent entry)
+    add_executable(unguarded-${role} tests/unguarded/${role}_main.cc)
+    target_include_directories(unguarded-${role} PRIVATE ${CMAKE_SOURCE_DIR})
+    target_link_libraries(unguarded-${role} PRIVATE quetzalvale_${role} docopt)
+  endforeach()
+
+  # Each run must fail by the check of its guarantee.
+  set(guard_runs ${CMAKE_SOURCE_DIR}/scenarios/guards.txt)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${guard_runs})
+  file(STRINGS ${guard_runs} runs REGEX "^[0-9]")
+  foreach(run ${runs})
+    string(REPLACE " " ";" fields ${run})
+    list(GET fields 0 number)
+    list(GET fields 1 guard)
+    list(GET fields 2 scenario)
+    set(test_name unguarded_${guard}_${scenario})
+    add_test(NAME ${test_name} COMMAND quetzalvale-scenario --without=${guard} --violates=${number}
+             ${CMAKE_SOURCE_DIR}/scenarios/${scenario}.lua WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set_tests_properties(${test_name} PROPERTIES LABELS scenario TIMEOUT 300 PROCESSORS 3)
+  endforeach()
 endif()
--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -16,6 +16,15 @@
   return condition
 end
 
+-- Fails the scenario as a violation of the numbered guarantee (docs/design.md, section 1) unless the
+-- condition holds. A run without a guard must fail here and nowhere else.
+function guarantee(number, condition, text, ...)
+  if not condition then
+    error(string.format("guarantee %d is violated: " .. text, number, ...), 2)
+  end
+  return condition
+end
+
 -- Waits until the condition returns a true value, and returns it.
 function await(what, condition, seconds)
   local give_up = host.now_ms() + (seconds or AWAIT_SECONDS) * 1000
@@ -63,6 +72,12 @@
 -- Links; need relays in front of the processes.
 function cut(from, to) host.cut(from, to) end
 function restore(from, to) host.restore(from, to) end
+-- Delays the next message from one process to another until it is released; others pass.
+function hold(from, to) host.hold(from, to) end
+function release(from, to) host.release(from, to) end
+function await_held(from, to)
+  await("a message from " .. from .. " to " .. to .. " is held", function() return host.is_holding(from, to) end)
+end
 function cut_both(a, b) cut(a, b) cut(b, a) end
 function restore_both(a, b) restore(a, b) restore(b, a) end
 
@@ -376,7 +391,7 @@
   local starts = self:starts_by_task()
   local by_ticket = {}
   for task, count in pairs(starts) do
-    expect(count == 1, "task %s starts once, not %d times", task, count)
+    guarantee(1, count == 1, "task %s starts once, not %d times", task, count)
     local ticket = task:match("^(.*)/%d+$")
     by_ticket[ticket] = (by_ticket[ticket] or 0) + 1
   end
@@ -402,20 +417,20 @@
 
 function Cluster:check_answer(job, answer, starts)
   if answer.status == "complete" then
-    expect(#answer.outcomes == #job.echoes, "the answer of %s has %d outcomes, not %d", name_of(job),
+    guarantee(2, #answer.outcomes == #job.echoes, "the answer of %s has %d outcomes, not %d", name_of(job),
            #job.echoes, #answer.outcomes)
     for index, echo in ipairs(job.echoes) do
       local result = answer.outcomes[index].result
-      expect(result == echo, "outcome %d of %s is %s, not %s", index, name_of(job), echo,
+      guarantee(3, result == echo, "outcome %d of %s is %s, not %s", index, name_of(job), echo,
              host.json_text(result))
     end
-    expect(starts == #job.echoes, "all %d tasks of the complete job %s ran, not %d", #job.echoes,
+    guarantee(2, starts == #job.echoes, "all %d tasks of the complete job %s ran, not %d", #job.echoes,
            name_of(job), starts)
   else
-    expect(answer.outcomes == nil, "the %s answer of %s carries no outcomes", answer.status, name_of(job))
+    guarantee(2, answer.outcomes == nil, "the %s answer of %s carries no outcomes", answer.status, name_of(job))
   end
   if answer.not_run then
-    expect(starts == 0, "the job %s, answered \"not run\", started no task, not %d", name_of(job), starts)
+    guarantee(4, starts == 0, "the job %s, answered \"not run\", started no task, not %d", name_of(job), starts)
   end
 end
 
@@ -505,6 +520,12 @@
   return call_ok(entry.address, "GET", "/admin/v1/services/" .. self.service .. "/audit", nil, AUTHORIZED).changes
 end
 
+-- A value of GET /metrics, or 0.
+function metric(address, name)
+  local reply = host.call{address = address, path = "/metrics", timeout_ms = 5000}
+  return tonumber(((reply.text or "") .. "\n"):match("\n" .. name .. " ([%d.]+)")) or 0
+end
+
 function Cluster:drain_agent(entry, worker)
   local reply = host.call{address = entry.address, method = "POST", headers = AUTHORIZED,
                           path = "/admin/v1/agents/" .. worker.name .. "/drain"}
--- a/scenarios/two_operators.lua
+++ b/scenarios/two_operators.lua
@@ -8,7 +8,7 @@
   local second = c:start_change(c.entries[2], version, "second-" .. round, {agent_queue = 2 * round + 1}, true)
   local one, two = c:await_change(first), c:await_change(second)
   local statuses = {[one.status or 0] = 1, [two.status or 0] = 2}
-  expect(statuses[200] and statuses[409], "one change is applied and one refused: %s and %s", one.text, two.text)
+  guarantee(8, statuses[200] and statuses[409], "one change is applied and one refused: %s and %s", one.text, two.text)
   local won = one.status == 200
   version = version + 1
   expect((won and one or two).body.version == version, "versions rise by one")
--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -28,11 +28,12 @@
 
 }  // namespace
 
-AgentProcess::AgentProcess(ProcessSettings settings, std::function<void()> leave_requested)
+AgentProcess::AgentProcess(ProcessSettings settings, std::function<void()> leave_requested,
+                           AgentGuards guards)
     : settings(std::move(settings)),
       leave_requested(std::move(leave_requested)),
       identity(MakeIdentity(this->settings)),
-      core(this->identity, this->settings.entries),
+      core(this->identity, this->settings.entries, std::move(guards)),
       senders(this->settings.shared_key, kCallsPerPeer, kCallTimeout),
       thread(this->core, this->clock, this->metrics,
              [this](const AgentAction& action) { this->runner->Run(action); }),
--- a/src/agent/agent_process.h
+++ b/src/agent/agent_process.h
@@ -24,7 +24,9 @@
 class AgentProcess {
  public:
   /// `leave_requested` is called when an entry drains the agent; it has to lead to Leave().
-  AgentProcess(ProcessSettings settings, std::function<void()> leave_requested);
+  /// `guards` are replaced by tests only.
+  AgentProcess(ProcessSettings settings, std::function<void()> leave_requested,
+               AgentGuards guards = {});
   ~AgentProcess();
   AgentProcess(const AgentProcess&) = delete;
   AgentProcess& operator=(const AgentProcess&) = delete;
--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -41,8 +41,9 @@
 
 }  // namespace
 
-AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses)
-    : AgentCore(std::move(identity), std::move(seed_entry_addresses), AgentGuards(),
+AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
+                     AgentGuards guards)
+    : AgentCore(std::move(identity), std::move(seed_entry_addresses), std::move(guards),
                 TaskStore::Limits(), StartedTickets::kDefaultTasks, SealedTickets::Limits()) {}
 
 AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
@@ -154,7 +155,7 @@
 }
 
 StartRefusal AgentCore::DecideNew(const StartRequest& request, const StartItem& item) {
-  if (this->leaving) {
+  if (this->guards.refuses_starts(this->leaving)) {
     return StartRefusal::kLeaving;
   }
   if (this->guards.is_sealed(this->sealed, item.task.ticket)) {
--- a/src/core/agent_core.h
+++ b/src/core/agent_core.h
@@ -39,7 +39,8 @@
 /// thread-safe.
 class AgentCore {
  public:
-  AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses);
+  AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
+            AgentGuards guards = {});
   /// For tests that disable guards or need small limits.
   AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
             AgentGuards guards, TaskStore::Limits task_limits, std::size_t started_tasks,
--- a/src/core/agent_guards.h
+++ b/src/core/agent_guards.h
@@ -25,6 +25,7 @@
   std::function<bool(Time, Time)> has_time_left = [](Time now, Time deadline) {
     return now < deadline;
   };
+  std::function<bool(bool)> refuses_starts = [](bool leaving) { return leaving; };
   std::function<bool(const Incarnation&, const Incarnation&)> same_incarnation =
       [](const Incarnation& own, const Incarnation& named) { return own == named; };
 };
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -17,8 +17,10 @@
 }  // namespace
 
 EntryCore::EntryCore(EntryInfo self_info, std::vector<std::string> service_names,
-                     std::vector<std::string> seed_addresses, std::uint64_t seed)
+                     std::vector<std::string> seed_addresses, std::uint64_t seed,
+                     EntryGuards entry_guards)
     : self(std::move(self_info)),
+      guards(std::move(entry_guards)),
       random(seed),
       directory(this->self.incarnation),
       peers(this->self, seed_addresses) {
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -17,6 +17,7 @@
 #include "core/answer_outbox.h"
 #include "core/answer_store.h"
 #include "core/entry_events.h"
+#include "core/entry_guards.h"
 #include "core/entry_status.h"
 #include "core/forward_table.h"
 #include "core/job_table.h"
@@ -34,7 +35,7 @@
  public:
   /// `seed_addresses` are the inner addresses of other entries known from the settings.
   EntryCore(EntryInfo self, std::vector<std::string> services,
-            std::vector<std::string> seed_addresses, std::uint64_t seed);
+            std::vector<std::string> seed_addresses, std::uint64_t seed, EntryGuards guards = {});
 
   std::vector<EntryAction> Handle(Time event_time, const EntryEvent& event);
 
@@ -222,6 +223,7 @@
   bool IsLeaving() const { return this->departure.stage != Departure::Stage::kNone; }
 
   EntryInfo self;
+  EntryGuards guards;
   Random random;
   Time now{};
   bool started = false;
--- a/src/core/entry_core_departure.cc
+++ b/src/core/entry_core_departure.cc
@@ -43,8 +43,9 @@
     case Departure::Stage::kDeparted:
       return;
     case Departure::Stage::kFinishing:
-      if (this->jobs.Unanswered() == 0 && this->key_claims.empty() && this->forwards.IsEmpty() &&
-          this->salvages.empty() && this->outbox.IsEmpty()) {
+      if (this->guards.may_hand_over(this->jobs.Unanswered() == 0 && this->key_claims.empty() &&
+                                     this->forwards.IsEmpty() && this->salvages.empty() &&
+                                     this->outbox.IsEmpty())) {
         this->BeginHandOver();
         this->ContinueHandOver();
       }
--- a/src/core/entry_core_jobs.cc
+++ b/src/core/entry_core_jobs.cc
@@ -119,12 +119,14 @@
   Answer answer;
   answer.ticket = job.ticket;
   if (!job.failure) {
-    if (job.done < job.tasks.size()) {
+    if (!this->guards.all_outcomes(job.done, job.tasks.size())) {
       return;
     }
     answer.status = AnswerStatus::kComplete;
     for (Task& task : job.tasks) {
-      answer.results.push_back(std::move(task.result));
+      if (task.state == JobTaskState::kDone) {
+        answer.results.push_back(std::move(task.result));
+      }
     }
     this->AnswerJob(job, std::move(answer));
     return;
--- a/src/core/entry_core_peers.cc
+++ b/src/core/entry_core_peers.cc
@@ -294,12 +294,13 @@
 void EntryCore::On(const AnswerReceived& event) {
   const AnswerRequest& message = event.message;
   const bool own = message.to == this->self.incarnation;
-  const auto forward = own ? this->forwards.Take(message.request_id) : std::nullopt;
+  const RequestId answered = this->guards.answered_request(this->forwards, message.request_id);
+  const auto forward = own ? this->forwards.Take(answered) : std::nullopt;
   this->Do(ReplyAcknowledgement{event.request, {this->self.incarnation, forward.has_value()}});
   if (!forward) {
     return;
   }
-  this->Deliver({Waiter::Kind::kCaller, message.request_id, {}}, message.answer);
+  this->Deliver({Waiter::Kind::kCaller, answered, {}}, message.answer);
 }
 
 void EntryCore::On(const AnswerReplied& event) {
--- a/src/core/entry_core_settlement.cc
+++ b/src/core/entry_core_settlement.cc
@@ -50,7 +50,7 @@
     this->SettleStart(*reply, event.agent, event.channel_sequence, tasks);
     return;
   }
-  const bool not_sent = GetError(event.reply).kind == ErrorKind::kUnreachable;
+  const bool not_sent = this->guards.never_sent(GetError(event.reply));
   if (not_sent) {
     this->Pause(*agent);
   }
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -26,15 +26,17 @@
 
 }  // namespace
 
-EntryProcess::EntryProcess(ProcessSettings settings, std::function<void()> leave_requested)
+EntryProcess::EntryProcess(ProcessSettings settings, std::function<void()> leave_requested,
+                           EntryGuards guards)
     : settings(std::move(settings)),
       leave_requested(std::move(leave_requested)),
+      guards(std::move(guards)),
       self{DrawIncarnation(), this->settings.advertised_address, this->settings.data_centre},
       administrators(this->settings.administrators),
       table(this->settings.platform, kPlatformTimeout),
-      store(table, clock, kChangePatience),
+      store(table, clock, kChangePatience, this->guards.change_version),
       registry(table, self, this->settings.name),
-      keys(table, self.incarnation, DrawSeed, kClaimPatience),
+      keys(table, self.incarnation, DrawSeed, kClaimPatience, this->guards.key_version),
       senders(this->settings.shared_key, kCallsPerPeer, kCallTimeout),
       key_workers(kKeyThreads, kWaitingClaims),
       admin_workers(kAdminThreads, kWaitingChanges),
@@ -55,7 +57,7 @@
   std::sort(seeds.begin(), seeds.end());
   seeds.erase(std::unique(seeds.begin(), seeds.end()), seeds.end());
   std::erase(seeds, this->self.address);
-  return {this->self, this->settings.services, std::move(seeds), DrawSeed()};
+  return {this->self, this->settings.services, std::move(seeds), DrawSeed(), this->guards};
 }
 
 std::string EntryProcess::Start() {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -25,7 +25,9 @@
  public:
   /// `leave_requested` is called when an operator asks for this entry's departure; it must lead to
   /// Leave() on the owning thread.
-  EntryProcess(ProcessSettings settings, std::function<void()> leave_requested);
+  /// `guards` are replaced by tests only.
+  EntryProcess(ProcessSettings settings, std::function<void()> leave_requested,
+               EntryGuards guards = {});
   ~EntryProcess();
   EntryProcess(const EntryProcess&) = delete;
   EntryProcess& operator=(const EntryProcess&) = delete;
@@ -52,6 +54,7 @@
 
   ProcessSettings settings;
   std::function<void()> leave_requested;
+  EntryGuards guards;
   SystemClock clock;
   EntryInfo self;
   std::atomic<std::uint64_t> ids{0};
--- a/src/platform/configuration_store.cc
+++ b/src/platform/configuration_store.cc
@@ -54,8 +54,8 @@
 }
 
 ConfigurationStore::ConfigurationStore(TableClient& table, const Clock& clock,
-                                       std::chrono::milliseconds patience)
-    : table(table), clock(clock), patience(patience) {}
+                                       std::chrono::milliseconds patience, RowVersion row_version)
+    : table(table), clock(clock), patience(patience), row_version(std::move(row_version)) {}
 
 std::vector<TableOperation> ConfigurationStore::Operations(
     const ConfigurationChange& change) const {
@@ -69,8 +69,9 @@
   audit["time_ms"] = static_cast<Json::Int64>(std::chrono::duration_cast<std::chrono::milliseconds>(
                                                   this->clock.WallNow().time_since_epoch())
                                                   .count());
-  return {{kTable, change.service, change.document, change.base_version},
-          {kAuditTable, AuditKey(change.service, change.base_version + 1), std::move(audit), 0}};
+  return {{kTable, change.service, change.document, this->row_version(change.base_version)},
+          {kAuditTable, AuditKey(change.service, change.base_version + 1), std::move(audit),
+           this->row_version(0)}};
 }
 
 PlatformResult<ConfigurationStore::AuditVerdict> ConfigurationStore::ReadVerdict(
--- a/src/platform/configuration_store.h
+++ b/src/platform/configuration_store.h
@@ -5,10 +5,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "core/entry_guards.h"
 #include "core/result.h"
 #include "platform/table_client.h"
 #include "runtime/clock.h"
@@ -37,8 +39,13 @@
 /// Thread-safe. All calls wait for the platform.
 class ConfigurationStore {
  public:
+  /// Version that a row must have when a change is written.
+  using RowVersion = std::function<std::optional<std::uint64_t>(std::uint64_t expected)>;
+
   /// `patience` bounds the time spent on one change. `table` and `clock` must outlive the store.
-  ConfigurationStore(TableClient& table, const Clock& clock, std::chrono::milliseconds patience);
+  /// `row_version` is replaced by tests only.
+  ConfigurationStore(TableClient& table, const Clock& clock, std::chrono::milliseconds patience,
+                     RowVersion row_version = EntryGuards().change_version);
 
   /// Applies the change and returns the new version. The same change id again returns the version
   /// of its first application. Errors: kStaleBase, kConflict (the change id belongs to another
@@ -64,6 +71,7 @@
   TableClient& table;
   const Clock& clock;
   std::chrono::milliseconds patience;
+  RowVersion row_version;
 };
 
 /// Hash of a document's canonical JSON text, as 16 hexadecimal digits.
--- a/src/platform/key_registry.cc
+++ b/src/platform/key_registry.cc
@@ -19,8 +19,13 @@
 }  // namespace
 
 KeyRegistry::KeyRegistry(TableClient& table, Incarnation self, std::function<std::uint64_t()> nonce,
-                         std::chrono::milliseconds patience)
-    : table(table), self(self), nonce(std::move(nonce)), patience(patience) {}
+                         std::chrono::milliseconds patience,
+                         std::function<std::optional<std::uint64_t>()> row_version)
+    : table(table),
+      self(self),
+      nonce(std::move(nonce)),
+      patience(patience),
+      row_version(std::move(row_version)) {}
 
 Result<Ticket> KeyRegistry::Claim(const std::string& service, const std::string& key,
                                   std::uint64_t body_hash, const Ticket& ticket) {
@@ -34,7 +39,7 @@
   std::string reason;
   bool maybe_applied = false;
   do {
-    const auto result = this->table.Commit({{kTable, row_key, value, 0}});
+    const auto result = this->table.Commit({{kTable, row_key, value, this->row_version()}});
     const auto* error = std::get_if<PlatformError>(&result);
     if (error == nullptr) {
       return ticket;
--- a/src/platform/key_registry.h
+++ b/src/platform/key_registry.h
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 
+#include "core/entry_guards.h"
 #include "core/result.h"
 #include "core/types.h"
 #include "platform/table_client.h"
@@ -17,8 +19,12 @@
  public:
   /// `patience` bounds the time spent on one claim. `nonce` gives 64 random bits. `table` must
   /// outlive the registry.
-  KeyRegistry(TableClient& table, Incarnation self, std::function<std::uint64_t()> nonce,
-              std::chrono::milliseconds patience);
+  /// `row_version` is the version that the row must have for a claim; absent unless a test
+  /// replaces it.
+  KeyRegistry(
+      TableClient& table, Incarnation self, std::function<std::uint64_t()> nonce,
+      std::chrono::milliseconds patience,
+      std::function<std::optional<std::uint64_t>()> row_version = EntryGuards().key_version);
 
   /// Binds the key to the ticket, or finds the ticket that it belongs to already.
   /// Error: kPlatformUnavailable; the job then must not run.
@@ -33,6 +39,7 @@
   Incarnation self;
   std::function<std::uint64_t()> nonce;
   std::chrono::milliseconds patience;
+  std::function<std::optional<std::uint64_t>()> row_version;
 };
 
 }  // namespace quetzalvale
--- a/src/scenario/host_functions.cc
+++ b/src/scenario/host_functions.cc
@@ -138,6 +138,17 @@
     host.Links().Restore(arguments[0].asString(), arguments[1].asString());
     return Json::Value();
   });
+  script.Register("hold", [&host](const Json::Value& arguments) {
+    host.Links().Hold(arguments[0].asString(), arguments[1].asString());
+    return Json::Value();
+  });
+  script.Register("release", [&host](const Json::Value& arguments) {
+    host.Links().Release(arguments[0].asString(), arguments[1].asString());
+    return Json::Value();
+  });
+  script.Register("is_holding", [&host](const Json::Value& arguments) {
+    return Json::Value(host.Links().IsHolding(arguments[0].asString(), arguments[1].asString()));
+  });
   script.Register("call", [](const Json::Value& arguments) {
     return ToJson(CallHttp(ToRequest(arguments[0])));
   });
--- a/src/scenario/link_table.cc
+++ b/src/scenario/link_table.cc
@@ -12,6 +12,31 @@
   this->cuts.erase({from, to});
 }
 
+void LinkTable::Hold(const std::string& from, const std::string& to) {
+  const std::lock_guard lock(this->mutex);
+  this->holds.emplace(from, to);
+}
+
+void LinkTable::Release(const std::string& from, const std::string& to) {
+  const std::lock_guard lock(this->mutex);
+  this->holds.erase({from, to});
+  this->holding.erase({from, to});
+}
+
+bool LinkTable::TakeHold(const std::string& from, const std::string& to) {
+  const std::lock_guard lock(this->mutex);
+  if (this->holds.erase({from, to}) == 0) {
+    return false;
+  }
+  this->holding.emplace(from, to);
+  return true;
+}
+
+bool LinkTable::IsHolding(const std::string& from, const std::string& to) const {
+  const std::lock_guard lock(this->mutex);
+  return this->holding.contains({from, to});
+}
+
 bool LinkTable::IsCut(const std::string& from, const std::string& to) const {
   const std::lock_guard lock(this->mutex);
   return this->cuts.contains({from, to});
--- a/src/scenario/link_table.h
+++ b/src/scenario/link_table.h
@@ -17,6 +17,19 @@
 
   void Restore(const std::string& from, const std::string& to);
 
+  /// Delays the next message that `from` sends to `to` as a request, until Release. Other
+  /// connections go on.
+  void Hold(const std::string& from, const std::string& to);
+
+  /// Lets the message held in this direction pass, or takes Hold back.
+  void Release(const std::string& from, const std::string& to);
+
+  /// Returns whether a connection on which a message has arrived is the one to hold. Only one is.
+  bool TakeHold(const std::string& from, const std::string& to);
+
+  /// Returns whether a message is held in this direction.
+  bool IsHolding(const std::string& from, const std::string& to) const;
+
   bool IsCut(const std::string& from, const std::string& to) const;
 
   /// Runs `transfer` unless the direction is cut, and returns its result, or true. A cut waits for
@@ -27,6 +40,9 @@
  private:
   mutable std::mutex mutex;
   std::set<std::pair<std::string, std::string>> cuts;
+  /// Directions whose next message is to be held, and those in which one is held.
+  std::set<std::pair<std::string, std::string>> holds;
+  std::set<std::pair<std::string, std::string>> holding;
 };
 
 }  // namespace quetzalvale
--- a/src/scenario/main.cc
+++ b/src/scenario/main.cc
@@ -18,7 +18,8 @@
 constexpr char kUsage[] = R"(quetzalvale-scenario: runs a Lua script against real processes.
 
 Usage:
-  quetzalvale-scenario [--programs=DIR] [--root=DIR] [--log-level=LEVEL] SCRIPT
+  quetzalvale-scenario [--programs=DIR] [--root=DIR] [--log-level=LEVEL]
+                       [--without=GUARD --violates=NUMBER] SCRIPT
   quetzalvale-scenario (-h | --help)
 
 The script starts processes, and all of them are ended when it ends. `require` finds modules in the
@@ -28,9 +29,13 @@
   --programs=DIR      Folder of the built programs. Left out: the folder of this program.
   --root=DIR          Folder that holds settings/. [default: .]
   --log-level=LEVEL   debug, info, warning or error. [default: info]
+  --without=GUARD     Start the test variant of the agent or entry without this guard, such as
+                      agent.is_sealed. The script must then fail.
+  --violates=NUMBER   Guarantee by whose check the script must fail.
   -h --help           Show this text.
 
-Exit codes: 0 the script succeeded, 1 it failed, 2 it could not be run.
+Exit codes: 0 the script succeeded, or failed as --violates demands; 1 it did not; 2 it could not be
+run.
 )";
 
 constexpr std::size_t kLogLinesPerProcess = 60;
@@ -40,15 +45,38 @@
                            : std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
 }
 
+/// Whether a run without a guard failed by the guarantee's own check, not by a crash, a failed
+/// start or a wait that timed out.
+bool FailedAsExpected(const Status& status, ScenarioHost& host, const std::string& guarantee) {
+  if (IsOk(status)) {
+    std::cout << "the script succeeded without the guard" << std::endl;
+    return false;
+  }
+  if (const auto crashed = host.FindCrashed()) {
+    std::cout << *crashed << " crashed" << std::endl;
+    return false;
+  }
+  return GetError(status).message.find("guarantee " + guarantee + " is violated: ") !=
+         std::string::npos;
+}
+
 int RunScript(std::map<std::string, docopt::value> arguments) {
   const std::string file = arguments["SCRIPT"].asString();
-  ScenarioHost host(ProgramsFolder(arguments["--programs"]));
+  const auto& without = arguments["--without"];
+  ScenarioHost host(ProgramsFolder(arguments["--programs"]),
+                    without.isString() ? without.asString() : "");
   LuaScript script(std::filesystem::absolute(file).parent_path());
   RegisterHostFunctions(script, host, arguments["--root"].asString());
   const Status status = script.Run(file);
-  if (IsOk(status)) {
+  if (without.isString() && FailedAsExpected(status, host, arguments["--violates"].asString())) {
+    const std::string& message = GetError(status).message;
+    std::cout << "failed as expected without " << without.asString() << ": "
+              << message.substr(0, message.find('\n')) << std::endl;
     return 0;
   }
+  if (IsOk(status)) {
+    return without.isString() ? 1 : 0;
+  }
   host.Folder().PrintLogs(std::cout, kLogLinesPerProcess);
   std::cout << "scenario failed: " << GetError(status).message << std::endl;
   return 1;
--- a/src/scenario/relay_hub.cc
+++ b/src/scenario/relay_hub.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,7 +39,7 @@
 
 }  // namespace
 
-RelayHub::RelayHub(const LinkTable& links, NameClient name_client)
+RelayHub::RelayHub(LinkTable& links, NameClient name_client)
     : links(links), name_client(std::move(name_client)) {
   this->thread = std::thread([this] { this->Run(); });
 }
@@ -96,6 +97,7 @@
       this->Accept(relay);
     }
     for (Connection& connection : this->connections) {
+      this->HoldIfWanted(connection.request);
       const bool intact = this->Move(connection.request) && this->Move(connection.reply);
       connection.broken = !intact;
     }
@@ -134,12 +136,22 @@
   this->connections.push_back(std::move(connection));
 }
 
+void RelayHub::HoldIfWanted(Stream& stream) {
+  if (stream.held) {
+    stream.held = this->links.IsHolding(stream.from, stream.to);
+    return;
+  }
+  int arrived = 0;
+  const bool readable = !stream.ended && ioctl(stream.source, FIONREAD, &arrived) == 0;
+  stream.held = readable && arrived > 0 && this->links.TakeHold(stream.from, stream.to);
+}
+
 bool RelayHub::IsMovable(const Stream& stream) const {
-  return !stream.ended && !this->links.IsCut(stream.from, stream.to);
+  return !stream.ended && !stream.held && !this->links.IsCut(stream.from, stream.to);
 }
 
 bool RelayHub::Move(Stream& stream) const {
-  if (stream.ended) {
+  if (stream.ended || stream.held) {
     return true;
   }
   return this->links.IfOpen(stream.from, stream.to, [&stream] { return Transfer(stream); });
--- a/src/scenario/relay_hub.h
+++ b/src/scenario/relay_hub.h
@@ -24,7 +24,7 @@
   using NameClient =
       std::function<std::string(std::uint16_t client_port, std::uint16_t relay_port)>;
 
-  RelayHub(const LinkTable& links, NameClient name_client);
+  RelayHub(LinkTable& links, NameClient name_client);
   ~RelayHub();
   RelayHub(const RelayHub&) = delete;
   RelayHub& operator=(const RelayHub&) = delete;
@@ -49,6 +49,8 @@
     /// Bytes read and not yet written.
     std::string pending;
     bool ended = false;
+    /// Delayed until the direction is released.
+    bool held = false;
   };
   struct Connection {
     Stream request;
@@ -59,13 +61,15 @@
   void Run();
   std::vector<Relay> CopyRelays() const;
   void Accept(const Relay& relay);
+  /// Holds the stream if a message has arrived on it and the script wants it held.
+  void HoldIfWanted(Stream& stream);
   bool IsMovable(const Stream& stream) const;
   /// Moves what can be moved without blocking. Returns false when the connection broke.
   bool Move(Stream& stream) const;
   static bool Transfer(Stream& stream);
   static void CloseConnection(Connection& connection);
 
-  const LinkTable& links;
+  LinkTable& links;
   NameClient name_client;
   mutable std::mutex mutex;
   std::vector<Relay> relays;
--- a/src/scenario/scenario_host.cc
+++ b/src/scenario/scenario_host.cc
@@ -1,6 +1,7 @@
 #include "scenario/scenario_host.h"
 
 #include <csignal>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -23,8 +24,9 @@
 
 }  // namespace
 
-ScenarioHost::ScenarioHost(std::string programs)
+ScenarioHost::ScenarioHost(std::string programs, std::string without)
     : programs(std::move(programs)),
+      without(std::move(without)),
       relays(links, [this](std::uint16_t client_port, std::uint16_t relay_port) {
         return this->NameClient(client_port, relay_port);
       }) {}
@@ -34,7 +36,7 @@
   if (old != this->processes.end() && !old->second->ExitCode()) {
     throw std::invalid_argument(options.name + " runs already; stop or kill it first");
   }
-  std::vector<std::string> arguments{this->programs + "/" + options.program};
+  std::vector<std::string> arguments = this->CommandOf(options);
   arguments.insert(arguments.end(), options.arguments.begin(), options.arguments.end());
   if (!options.settings.isNull()) {
     const std::string file =
@@ -52,6 +54,26 @@
   return id;
 }
 
+std::vector<std::string> ScenarioHost::CommandOf(const StartOptions& options) const {
+  const std::size_t dot = this->without.find('.');
+  const std::string role = this->without.substr(0, dot);
+  if (dot == std::string::npos || options.program != "quetzalvale-" + role) {
+    return {this->programs + "/" + options.program};
+  }
+  return {this->programs + "/unguarded-" + role, "--without=" + this->without.substr(dot + 1)};
+}
+
+std::optional<std::string> ScenarioHost::FindCrashed() {
+  static const std::set<int> crashes{-SIGSEGV, -SIGABRT, -SIGBUS, -SIGFPE, -SIGILL};
+  for (const auto& [name, process] : this->processes) {
+    const std::optional<int> code = process->ExitCode();
+    if (code && crashes.contains(*code)) {
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
 void ScenarioHost::Signal(const std::string& name, const std::string& signal) {
   this->Find(name).Signal(SignalNumber(signal));
   Log(LogLevel::kDebug, 5002, "signal_sent", "name=" + name + " signal=" + signal);
--- a/src/scenario/scenario_host.h
+++ b/src/scenario/scenario_host.h
@@ -36,8 +36,10 @@
     Json::Value settings;
   };
 
-  /// `programs` is the folder of the built programs.
-  explicit ScenarioHost(std::string programs);
+  /// `programs` is the folder of the built programs. `without` names the guard to remove, as
+  /// `agent.NAME` or `entry.NAME`: the test variant unguarded-agent or unguarded-entry is then
+  /// started in place of the program. Empty: none.
+  explicit ScenarioHost(std::string programs, std::string without = "");
 
   /// Returns the process id.
   pid_t Start(const StartOptions& options);
@@ -49,6 +51,9 @@
   /// `limit`.
   std::optional<int> WaitForExit(const std::string& name, std::chrono::milliseconds limit);
 
+  /// Returns the name of a process that ended by a signal of its own, such as SIGSEGV, or nothing.
+  std::optional<std::string> FindCrashed();
+
   std::uint16_t FreePort() { return this->ports.Next(); }
 
   /// Opens a relay to the port where the process `target` listens and returns the relay's port.
@@ -59,10 +64,13 @@
   WorkFolder& Folder() { return this->folder; }
 
  private:
+  /// Program and first arguments of the process.
+  std::vector<std::string> CommandOf(const StartOptions& options) const;
   ChildProcess& Find(const std::string& name);
   std::string NameClient(std::uint16_t client_port, std::uint16_t relay_port);
 
   std::string programs;
+  std::string without;
   WorkFolder folder;
   PortBlock ports;
   CallRecords calls;
