Fuzz inner messages, settings and callers' bodies, and fix what it finds

Cause: inner messages and settings had single tests of malformed input and no fuzzing.

Faults found, each with a test of its own: - A body or a reply nested more than 1,000 deep ended the process: libjsonrpccpp's parser throws, and on the client inside a function whose exception specification makes that the end. The server now answers 400; the client checks the depth before the library parses. Catching in RpcClient::Call was tried and did not help, for that reason. - Texts that are not UTF-8 were accepted in messages, and the JSON writer replaces such bytes, so that a ticket would reach the next process as another one. They are refused. - A URL of some 100,000 characters in the settings overflowed the stack, because std::regex recurses once per character. URLs have a bound, and longer texts are cut before the schema is checked. - A line break in a member's name made one error of a document look like two. Found by reading, not by the fuzzing: durations of a message had no bound and overflowed when added to a time; they are limited to ten years.

--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -6,6 +6,8 @@
 #include <memory>
 #include <stdexcept>
 
+#include "protocol/utf8.h"
+
 namespace quetzalvale {
 namespace codec_detail {
 
@@ -57,7 +59,24 @@
   if (!json.isString()) {
     ThrowMalformed(path, "a string");
   }
-  return json.asString();
+  std::string text = json.asString();
+  if (!IsUtf8(text)) {
+    ThrowMalformed(path, "a string in UTF-8");
+  }
+  return text;
+}
+
+std::vector<std::string> ReadNames(const Json::Value& json, const std::string& path) {
+  if (!json.isObject()) {
+    ThrowMalformed(path, "an object");
+  }
+  std::vector<std::string> names = json.getMemberNames();
+  for (const std::string& name : names) {
+    if (!IsUtf8(name)) {
+      ThrowMalformed(path, "an object whose names are in UTF-8");
+    }
+  }
+  return names;
 }
 
 }  // namespace codec_detail
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -3,6 +3,7 @@
 
 #include <json/value.h>
 
+#include <chrono>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -28,6 +29,9 @@
 
 namespace codec_detail {
 
+/// Far above every limit of the settings, and far below what overflows when it is added to a time.
+inline constexpr std::chrono::years kLongestDuration(10);
+
 [[noreturn]] void ThrowMalformed(const std::string& path, const char* expected);
 
 /// Returns `path.name`, the place that a decoding error names.
@@ -39,6 +43,8 @@
 double ReadDouble(const Json::Value& json, const std::string& path);
 bool ReadBool(const Json::Value& json, const std::string& path);
 std::string ReadString(const Json::Value& json, const std::string& path);
+/// Returns the names of an object's members.
+std::vector<std::string> ReadNames(const Json::Value& json, const std::string& path);
 
 /// Number of members of a message enum, to refuse numbers outside it.
 template <typename T>
@@ -148,7 +154,8 @@
   } else if constexpr (std::is_enum_v<T>) {
     value = static_cast<T>(ReadInteger(json, path, 0, kEnumCount<T> - 1));
   } else if constexpr (IsDuration<T>::value) {
-    value = T(ReadInteger(json, path, INT64_MIN, INT64_MAX));
+    constexpr std::int64_t kLongest = std::chrono::duration_cast<T>(kLongestDuration).count();
+    value = T(ReadInteger(json, path, -kLongest, kLongest));
   } else if constexpr (std::is_same_v<T, bool>) {
     value = ReadBool(json, path);
   } else if constexpr (std::is_same_v<T, std::string>) {
@@ -193,11 +200,8 @@
 template <typename T>
 void DecodeValue(const Json::Value& json, const std::string& path,
                  std::map<std::string, T>& values) {
-  if (!json.isObject()) {
-    ThrowMalformed(path, "an object");
-  }
   values.clear();
-  for (const auto& name : json.getMemberNames()) {
+  for (const auto& name : ReadNames(json, path)) {
     DecodeInto(json[name], MemberPath(path, name), values[name]);
   }
 }
--- a/src/protocol/rpc_client.cc
+++ b/src/protocol/rpc_client.cc
@@ -5,8 +5,33 @@
 #include <jsonrpccpp/client/connectors/httpclient.h>
 #include <jsonrpccpp/common/errors.h>
 
+#include "protocol/json_nesting.h"
+
 namespace quetzalvale {
 
+namespace {
+
+/// The library's JSON parser throws beyond 1,000 levels, inside functions whose exception
+/// specification turns that into the end of the process. No message of ours is as deep as this.
+constexpr int kMaxNesting = 900;
+
+/// Refuses replies that the library cannot parse.
+class BoundedHttpClient : public jsonrpc::HttpClient {
+ public:
+  using jsonrpc::HttpClient::HttpClient;
+
+  void SendRPCMessage(const std::string& message,
+                      std::string& result) throw(jsonrpc::JsonRpcException) override {
+    jsonrpc::HttpClient::SendRPCMessage(message, result);
+    if (JsonNesting(result.data(), result.size()) > kMaxNesting) {
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE,
+                                      "the reply is nested too deeply");
+    }
+  }
+};
+
+}  // namespace
+
 struct RpcClient::State {
   State(const std::string& address, const std::string& key)
       : connector("http://" + address), client(connector, jsonrpc::JSONRPC_CLIENT_V2) {
@@ -15,7 +40,7 @@
     this->connector.AddHeader("Expect", "");
   }
 
-  jsonrpc::HttpClient connector;
+  BoundedHttpClient connector;
   jsonrpc::Client client;
 };
 
--- a/src/protocol/rpc_server.cc
+++ b/src/protocol/rpc_server.cc
@@ -1,6 +1,7 @@
 #include "protocol/rpc_server.h"
 
 #include <arpa/inet.h>
+#include <json/writer.h>
 #include <jsonrpccpp/common/errors.h>
 #include <jsonrpccpp/common/exception.h>
 #include <jsonrpccpp/common/procedure.h>
@@ -126,7 +127,16 @@
     if (std::strcmp(method, "POST") != 0) {
       return SendText(connection, MHD_HTTP_METHOD_NOT_ALLOWED, "{\"error\":\"use POST\"}");
     }
-    this->OnRequest(exchange->body, exchange);
+    try {
+      this->OnRequest(exchange->body, exchange);
+    } catch (const std::exception& malformed) {
+      // The library's JSON parser throws on deep nesting. Outside this thread's callback nothing
+      // catches it.
+      Json::Value error;
+      error["error"] = std::string("not a JSON-RPC request: ") + malformed.what();
+      return SendText(connection, MHD_HTTP_BAD_REQUEST,
+                      Json::writeString(Json::StreamWriterBuilder(), error));
+    }
     return SendText(connection, MHD_HTTP_OK, exchange->response);
   }
 
--- a/src/settings/schema_check.cc
+++ b/src/settings/schema_check.cc
@@ -1,5 +1,7 @@
 #include "settings/schema_check.h"
 
+#include <algorithm>
+#include <cctype>
 #include <limits>
 #include <utility>
 #include <valijson/adapters/jsoncpp_adapter.hpp>
@@ -15,16 +17,23 @@
 
 using Adapter = valijson::adapters::JsonCppAdapter;
 
-/// Clamps integers to 32 bits: valijson's adapter throws on larger ones. The schemas' bounds are
-/// narrower, so that a clamped number is still reported.
-Json::Value ClampIntegers(const Json::Value& value) {
+/// Longest text that is checked as it is. std::regex recurses once per character, so that a long
+/// text would exhaust the stack. All schemas' bounds are lower.
+constexpr std::size_t kLongestText = 4000;
+
+/// Clamps integers to 32 bits, because valijson's adapter throws on larger ones, and texts to
+/// kLongestText. The schemas' bounds are narrower, so that a clamped value is still reported.
+Json::Value ClampValues(const Json::Value& value) {
   if (value.isArray() || value.isObject()) {
     Json::Value copy = value;
     for (auto& member : copy) {
-      member = ClampIntegers(member);
+      member = ClampValues(member);
     }
     return copy;
   }
+  if (value.isString() && value.asString().size() > kLongestText) {
+    return value.asString().substr(0, kLongestText);
+  }
   if (value.isBool() || !value.isIntegral() || value.isInt()) {
     return value;
   }
@@ -111,6 +120,9 @@
                            std::string_view remedy) {
   std::string line = this->source;
   line.append(": ").append(path).append(": ").append(problem).append("; ").append(remedy);
+  // Names of members may hold line breaks, which would look like further errors.
+  std::replace_if(
+      line.begin(), line.end(), [](unsigned char byte) { return std::iscntrl(byte) != 0; }, '?');
   this->lines.push_back(std::move(line));
 }
 
@@ -128,7 +140,7 @@
   valijson::Schema schema;
   valijson::SchemaParser parser(valijson::SchemaParser::kDraft7);
   parser.populateSchema(Adapter(schema_json), schema);
-  const Json::Value clamped = ClampIntegers(document);
+  const Json::Value clamped = ClampValues(document);
   valijson::Validator validator(valijson::Validator::kStrongTypes);
   valijson::ValidationResults results;
   if (validator.validate(schema, Adapter(clamped), &results)) {
--- a/src/settings/schema_check.h
+++ b/src/settings/schema_check.h
@@ -29,7 +29,8 @@
 };
 
 /// Adds every violation of the schema to `errors`. Remedies are the descriptions in the schema.
-/// Precondition: `schema_text` is a valid schema whose numbers all have bounds within 32 bits.
+/// Precondition: `schema_text` is a valid schema whose numbers all have bounds within 32 bits and
+/// whose texts with a pattern have a bound below 4,000 characters.
 void CheckSchema(std::string_view schema_text, const Json::Value& document,
                  ValidationErrors& errors);
 
--- a/tests/entry/libraries.cmake
+++ b/tests/entry/libraries.cmake
@@ -1,1 +1,2 @@
-target_link_libraries(entry_test PRIVATE quetzalvale_entry quetzalvale_standin_platform)
+find_package(rapidcheck REQUIRED)
+target_link_libraries(entry_test PRIVATE quetzalvale_entry quetzalvale_standin_platform rapidcheck)
--- a/tests/protocol/codec_test.cc
+++ b/tests/protocol/codec_test.cc
@@ -55,6 +55,23 @@
   }
 }
 
+// The JSON writer replaces such bytes, so the ticket would reach the next process as another one.
+TEST(CodecTest, TextThatIsNotUtf8IsRefused) {
+  SealRequest seal;
+  seal.ticket = {"shop\xff", {1, 2}, 3, 4};
+  EXPECT_THROW(Decode<SealRequest>(Encode(seal)), std::invalid_argument);
+  Hello hello;
+  hello.configuration_versions["shop\xff"] = 1;
+  EXPECT_THROW(Decode<Hello>(Encode(hello)), std::invalid_argument);
+}
+
+// A time left of this length overflowed when it was added to the present time.
+TEST(CodecTest, DurationBeyondAnyUseIsRefused) {
+  Json::Value json = Encode(SampleStart());
+  json["items"][0]["time_left_ms"] = Json::Int64{INT64_MAX};
+  EXPECT_THROW(Decode<StartRequest>(json), std::invalid_argument);
+}
+
 TEST(CodecTest, EnumOutOfRangeIsRefused) {
   StartReply reply;
   reply.decisions = {StartRefusal::kBusy};
--- /dev/null
+++ b/tests/protocol/libraries.cmake
@@ -0,0 +1,2 @@
+find_package(rapidcheck REQUIRED)
+target_link_libraries(protocol_test PRIVATE rapidcheck)
--- a/tests/protocol/rpc_test.cc
+++ b/tests/protocol/rpc_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <stdexcept>
+#include <utility>
 
+#include "client/http_call.h"
 #include "protocol/rpc_client.h"
 #include "protocol/rpc_server.h"
 #include "tests/support/loopback_address.h"
@@ -54,6 +56,35 @@
   EXPECT_NE(client.Call("echo", Parameters(), kTimeoutMs).outcome, RpcOutcome::kOk);
 }
 
+// The library's parser throws on deep nesting, which ended the process.
+TEST_F(RpcTest, DeeplyNestedBodyIsRefused) {
+  CallRequest request;
+  request.address = this->address;
+  request.method = "POST";
+  request.body = std::string(100000, '[');
+  request.headers["X-Quetzalvale-Key"] = kKey;
+  const CallResult result = CallHttp(request);
+  ASSERT_TRUE(IsOk(result)) << GetError(result).message;
+  EXPECT_EQ(std::get<CallReply>(result).status, 400);
+  RpcClient client(this->address, kKey);
+  EXPECT_EQ(client.Call("echo", Parameters(), kTimeoutMs).outcome, RpcOutcome::kOk);
+}
+
+// The same fault in a peer's reply ended the caller.
+TEST_F(RpcTest, DeeplyNestedReplyIsNotKnown) {
+  this->server.Register("deep", [](const Json::Value&) {
+    Json::Value deep;
+    for (int level = 0; level < 2000; ++level) {
+      Json::Value outer(Json::arrayValue);
+      outer.append(deep);
+      deep = std::move(outer);
+    }
+    return deep;
+  });
+  RpcClient client(this->address, kKey);
+  EXPECT_EQ(client.Call("deep", Parameters(), kTimeoutMs).outcome, RpcOutcome::kUnknown);
+}
+
 TEST_F(RpcTest, StoppedServerIsReported) {
   this->server.Stop();
   RpcClient client(this->address, kKey);
--- /dev/null
+++ b/tests/settings/libraries.cmake
@@ -0,0 +1,2 @@
+find_package(rapidcheck REQUIRED)
+target_link_libraries(settings_test PRIVATE rapidcheck)
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -164,5 +164,21 @@
   EXPECT_EQ(SettingsErrorsOf(document), "");
 }
 
+// std::regex recurses once per character; a long URL overflowed the stack.
+TEST(ProcessSettingsTest, LongUrlIsRefused) {
+  Json::Value document = EntrySettings();
+  document["platform"] = "http://" + std::string(1000000, 'x');
+  EXPECT_NE(SettingsErrorsOf(document).find("$.platform"), std::string::npos);
+}
+
+// A line break in a name made one error look like two, the second without a path.
+TEST(ServiceDocumentTest, NamesWithLineBreaksStayOnOneLine) {
+  Json::Value document = SmallDocument();
+  document["a\nb"] = 1;
+  const std::string errors = ErrorsOf(document);
+  EXPECT_NE(errors.find("$.a?b"), std::string::npos) << errors;
+  EXPECT_EQ(errors.find('\n'), std::string::npos) << errors;
+}
+
 }  // namespace
 }  // namespace quetzalvale
