Bound the overshoot of team quotas when entries join, leave or are cut off

Cause: an entry computed its share from its own present demand and the last reports of live peers. Entries whose demand rose together each took most of the quota until the reports crossed, an entry that joined took all of it until it heard a peer, and ten seconds after a cut each side forgot the other and granted the whole quota.

An entry now claims only the demand that all its peers were told of, so that the shares add up to the quota or less whatever the delay of the reports. A silent peer keeps its part: the entry falls back to an equal part, and forgets the peer after ten minutes if it hears a majority. Addresses from the settings that were not heard count as silent peers.

Ruled out: a field in hello that hands over parts of the quota (exact, but the part of an entry that dies is lost until it is taken back by time), and forgetting silent peers after a fixed time alone (each side of a long partition grants the whole quota).

--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -73,14 +73,7 @@
     service.ledger.Expire(this->now);
     kept = std::max<Time::duration>(kept, tickets.valid + tickets.answer_kept);
   }
-  for (const auto& [entry, peer] : this->peers.Peers()) {
-    if (this->IsPeerAlive(entry)) {
-      continue;
-    }
-    for (auto& [name, service] : this->services) {
-      service.quotas.ForgetPeer(entry);
-    }
-  }
+  this->SweepQuotas();
   this->directory.Expire(kept, this->now);
   this->salvaged.Expire(this->now);
   std::erase_if(this->adopted,
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -205,6 +205,9 @@
   void SendHellos();
   void TellRoster();
   void ReadHello(const Hello& hello);
+  /// Whether the peer takes no jobs any more.
+  bool HasDeparted(const Peer& peer) const;
+  void SweepQuotas();
   void SubmitForeign(ServiceState& service, const Waiter& waiter, const Submission& submission);
   bool AnswerForeign(const Waiter& waiter, const Ticket& ticket, std::uint64_t body_hash);
   void SweepForwards();
--- a/src/core/entry_core_peers.cc
+++ b/src/core/entry_core_peers.cc
@@ -64,12 +64,37 @@
 
 void EntryCore::ReadHello(const Hello& hello) {
   this->peers.Read(hello, this->now);
+  const Incarnation& sender = hello.entry.incarnation;
+  const Peer* peer = this->peers.Find(sender);
+  if (peer == nullptr || this->HasDeparted(*peer)) {
+    return;
+  }
+  for (auto& [name, service] : this->services) {
+    service.quotas.AddPeer(sender, this->now);
+  }
   for (const auto& [key, rate] : hello.demand) {
     ServiceState* service = this->FindService(key.first);
     // Unknown teams are left out: the table must not grow with what peers make up.
     if (service != nullptr && service->configuration->FindTeam(key.second) != nullptr) {
-      service->quotas.SetPeerDemand(hello.entry.incarnation, key.second, rate);
+      service->quotas.SetPeerDemand(sender, key.second, rate);
+    }
+  }
+}
+
+bool EntryCore::HasDeparted(const Peer& peer) const {
+  return peer.gone || peer.leaving || this->peers.FindSuccessor(peer.info.incarnation).has_value();
+}
+
+void EntryCore::SweepQuotas() {
+  for (auto& [name, service] : this->services) {
+    // A peer that is only silent may be beyond a partition, where it still grants its part.
+    for (const auto& [entry, peer] : this->peers.Peers()) {
+      if (this->HasDeparted(peer)) {
+        service.quotas.ForgetPeer(entry);
+      }
     }
+    service.quotas.SetUnheard(this->peers.UnheardSeeds(), this->now);
+    service.quotas.Expire(this->now);
   }
 }
 
@@ -93,6 +118,9 @@
   }
   if (this->peers.HearReply(hello->entry, this->now) != nullptr) {
     this->ReadHello(*hello);
+    for (auto& [name, service] : this->services) {
+      service.quotas.ConfirmPeer(hello->entry.incarnation, this->now);
+    }
   }
   this->peers.HelloDone(event.address, &hello->entry.incarnation, this->now);
 }
--- a/src/core/peer_table.cc
+++ b/src/core/peer_table.cc
@@ -231,6 +231,12 @@
   }
 }
 
+std::size_t PeerTable::UnheardSeeds() const {
+  return static_cast<std::size_t>(std::ranges::count_if(this->targets, [this](const auto& element) {
+    return element.second.seed && this->FindByAddress(element.first) == nullptr;
+  }));
+}
+
 bool PeerTable::AllTold(Time::duration within, Time now) const {
   return std::ranges::all_of(this->targets, [&](const auto& element) {
     const Peer* peer = this->FindByAddress(element.first);
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -75,6 +75,9 @@
   /// Whether the hello to this address must carry the roster with this number.
   bool NeedsRoster(const std::string& address, std::uint64_t number, Time now) const;
 
+  /// Number of addresses from the settings at which no entry was ever heard.
+  std::size_t UnheardSeeds() const;
+
   /// Whether no hello is under way and every live peer has had one since HelloSoon.
   bool AllTold(Time::duration within, Time now) const;
 
--- a/src/core/quota_table.cc
+++ b/src/core/quota_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
 namespace quetzalvale {
 namespace {
@@ -13,6 +14,22 @@
 /// so far can take a team's first job.
 constexpr double kEqualPart = 0.1;
 
+/// A report takes at most the two seconds after which a call is given up, and one that was sent
+/// earlier may overtake it by as much.
+constexpr std::chrono::seconds kExchangeTime{4};
+
+/// A peer that has not answered for this long counts as cut off. Longer than several exchanges, at
+/// the pace of one in a few seconds.
+constexpr std::chrono::seconds kSilentAfter{10};
+
+/// How long a silent peer keeps its part. Partitions last for minutes; a peer that died and whose
+/// address nobody took over is not told from one beyond a partition.
+constexpr std::chrono::minutes kSilentKept{10};
+
+/// Lows of demand are kept in steps of this length, and no longer than the silent time needs.
+constexpr Milliseconds kLowStep{250};
+constexpr std::chrono::seconds kLowsKept = kSilentAfter + kExchangeTime;
+
 double Seconds(Time from, Time to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
@@ -26,10 +43,19 @@
   this->teams[std::string(team)].quota = tasks_per_second;
 }
 
+void QuotaTable::AddPeer(const Incarnation& peer, Time now) { this->peers.try_emplace(peer, now); }
+
 void QuotaTable::SetPeerDemand(const Incarnation& peer, std::string_view team,
                                double tasks_per_second) {
-  this->peers.insert(peer);
-  this->teams[std::string(team)].peer_demand[peer] = std::max(0.0, tasks_per_second);
+  if (this->peers.contains(peer)) {
+    this->teams[std::string(team)].peer_demand[peer] = std::max(0.0, tasks_per_second);
+  }
+}
+
+void QuotaTable::ConfirmPeer(const Incarnation& peer, Time now) {
+  if (const auto found = this->peers.find(peer); found != this->peers.end()) {
+    found->second = std::max(found->second, now);
+  }
 }
 
 void QuotaTable::ForgetPeer(const Incarnation& peer) {
@@ -39,10 +65,43 @@
   }
 }
 
+void QuotaTable::SetUnheard(std::size_t entries, Time now) {
+  if (this->unheard == 0) {
+    this->unheard_since = now;
+  }
+  this->unheard = entries;
+}
+
+std::size_t QuotaTable::Unheard() const {
+  return this->unheard - std::min(this->unheard, this->unheard_forgotten);
+}
+
+void QuotaTable::Expire(Time now) {
+  std::vector<Incarnation> silent;
+  std::size_t heard = 1;
+  for (const auto& [peer, confirmed] : this->peers) {
+    heard += now - confirmed < kSilentAfter ? 1 : 0;
+    if (now - confirmed >= kSilentKept) {
+      silent.push_back(peer);
+    }
+  }
+  // On the smaller side of a partition, forgetting the others would grant the quota once more.
+  if (2 * heard <= this->peers.size() + 1 + this->Unheard()) {
+    return;
+  }
+  for (const Incarnation& peer : silent) {
+    this->ForgetPeer(peer);
+  }
+  if (now - this->unheard_since >= kSilentKept) {
+    this->unheard_forgotten = this->unheard;
+  }
+}
+
 bool QuotaTable::TryTake(std::string_view team_name, std::uint32_t tasks, Time now) {
   Team& team = this->teams[std::string(team_name)];
-  team.demand = team.demand * std::exp(-Seconds(team.demand_updated, now) / kDemandSeconds) +
-                tasks / kDemandSeconds;
+  const double before = DemandAt(team, now);
+  NoteLow(team, before, now);
+  team.demand = before + tasks / kDemandSeconds;
   team.demand_updated = now;
   if (team.quota <= 0) {
     return true;
@@ -70,18 +129,65 @@
   if (found == this->teams.end()) {
     return 0;
   }
-  return found->second.demand *
-         std::exp(-Seconds(found->second.demand_updated, now) / kDemandSeconds);
+  return DemandAt(found->second, now);
+}
+
+double QuotaTable::DemandAt(const Team& team, Time now) {
+  return team.demand * std::exp(-Seconds(team.demand_updated, now) / kDemandSeconds);
+}
+
+void QuotaTable::NoteLow(Team& team, double demand, Time now) {
+  // A low that is not below a later one never is the lowest.
+  while (!team.lows.empty() && team.lows.back().second >= demand) {
+    team.lows.pop_back();
+  }
+  // Within a step the earlier, lower value stands for both.
+  if (team.lows.empty() || now - team.lows.back().first >= kLowStep) {
+    team.lows.emplace_back(now, demand);
+  }
+  while (team.lows.size() > 1 && now - team.lows[1].first > kLowsKept) {
+    team.lows.pop_front();
+  }
+}
+
+double QuotaTable::LowestSince(const Team& team, Time from, Time now) {
+  // Demand only falls between requests, so its lows are just before requests, and now.
+  double lowest = DemandAt(team, now);
+  for (const auto& [time, low] : team.lows) {
+    if (time + kLowStep >= from) {
+      lowest = std::min(lowest, low);
+      break;
+    }
+  }
+  return lowest;
+}
+
+bool QuotaTable::IsSilent(Time now) const {
+  return std::ranges::any_of(
+      this->peers, [&](const auto& element) { return now - element.second >= kSilentAfter; });
+}
+
+Time QuotaTable::ToldSince(Time now) const {
+  Time since = now;
+  for (const auto& [peer, confirmed] : this->peers) {
+    since = std::min(since, confirmed);
+  }
+  return since - kExchangeTime;
 }
 
 double QuotaTable::Share(const Team& team, Time now) const {
-  const double entries = static_cast<double>(this->peers.size()) + 1;
-  const double own = team.demand * std::exp(-Seconds(team.demand_updated, now) / kDemandSeconds);
+  const double entries = static_cast<double>(this->peers.size() + this->Unheard()) + 1;
+  if (this->Unheard() > 0 || this->IsSilent(now)) {
+    return team.quota / entries;
+  }
+  const double own =
+      this->peers.empty() ? DemandAt(team, now) : LowestSince(team, this->ToldSince(now), now);
   double total = own;
   for (const auto& [peer, demand] : team.peer_demand) {
     total += demand;
   }
-  // Every entry uses the same weights, so the shares add up to the quota.
+  // Peers count at least what this entry claims here, and so do the peers' claims in `total`;
+  // therefore the shares add up to the quota or less.
   const double base = kEqualPart * team.quota / entries;
   return team.quota * (own + base) / (total + base * entries);
 }
