Do not wait again in each salvage for agents that are declared lost

A salvage waited agent_dead_ms for the seal of every agent of the roster, also when the salvaging entry had declared the agent lost before, so each caller of the lost data centre waited 4.2 s (10 s with default settings).

An agent that this entry has removed and not heard again is asked once; a call without an answer settles it as lost. An answer still counts, so an agent behind a healed link is not taken for lost.

Ruled out: not asking removed agents at all (an agent that comes back within the same moment could still prove what ran).

--- a/src/core/agent_directory.cc
+++ b/src/core/agent_directory.cc
@@ -67,6 +67,12 @@
   });
 }
 
+bool AgentDirectory::IsRemoved(const Incarnation& agent) const {
+  return !this->agents.contains(agent) &&
+         std::ranges::any_of(this->removed,
+                             [&](const Removed& gone) { return gone.item.agent == agent; });
+}
+
 Agent* AgentDirectory::Accept(const Announce& announce, Time now) {
   const auto found = this->agents.find(announce.agent);
   if (found == this->agents.end() &&
--- a/src/core/agent_directory.h
+++ b/src/core/agent_directory.h
@@ -75,6 +75,9 @@
   /// then used for new tickets only.
   void Remove(const Incarnation& agent, bool replaced, Time now);
 
+  /// Whether the agent was removed lately and has not come back.
+  bool IsRemoved(const Incarnation& agent) const;
+
   /// Chooses the members among the service's bound agents that are not leaving: all of them, or a
   /// subset by rendezvous hashing with a minimum per data centre. New members raise the roster.
   void UpdateMembers(const std::string& service, std::size_t subset_size);
--- a/src/core/entry_core_salvage.cc
+++ b/src/core/entry_core_salvage.cc
@@ -47,12 +47,12 @@
   const PeerTable::RosterView roster = this->peers.RosterFor(ticket);
   std::vector<Salvage::Target> targets;
   for (const RosterItem& item : roster.agents) {
-    targets.push_back({item.agent, item.address});
+    targets.push_back({item.agent, item.address, this->directory.IsRemoved(item.agent)});
   }
   if (!roster.complete) {
     for (const auto& [incarnation, agent] : this->directory.Agents()) {
       if (agent.announce.service == ticket.service) {
-        targets.push_back({incarnation, agent.announce.address});
+        targets.push_back({incarnation, agent.announce.address, false});
       }
     }
   }
--- a/src/core/salvage.cc
+++ b/src/core/salvage.cc
@@ -43,6 +43,10 @@
   Asked& asked = found->second;
   asked.in_flight = false;
   const auto* seal = std::get_if<SealReply>(&reply);
+  if (seal == nullptr && asked.target.presumed_lost) {
+    this->OnAgentLost(agent);
+    return;
+  }
   if (seal == nullptr) {
     asked.backoff = std::clamp(asked.backoff * 2, kFirstBackoff, kLongestBackoff);
     asked.next = now + asked.backoff;
--- a/src/core/salvage.h
+++ b/src/core/salvage.h
@@ -20,6 +20,8 @@
   struct Target {
     Incarnation agent;
     std::string address;
+    /// This entry has declared the agent lost, so one call without an answer settles it.
+    bool presumed_lost = false;
   };
   struct Limits {
     /// Agents that have not answered by then count as unknown.
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -341,6 +341,28 @@
   EXPECT_EQ(this->core.Status(this->now).counters.salvages, 1U);
 }
 
+// After the loss of a data centre, each salvage would wait anew for agents that this entry has
+// declared lost already.
+TEST_F(EntryCoreTest, SalvageDoesNotWaitAgainForAnAgentDeclaredLost) {
+  this->Greet(4, {{"s", kAgent, "a", 1, 0}});
+  this->AddAgent(kAgent, "a");
+  for (int i = 0; i < 2000 && !this->core.Status(this->now).services[0].agents.empty(); ++i) {
+    this->Wait(Milliseconds(100));
+  }
+  ASSERT_TRUE(this->core.Status(this->now).services[0].agents.empty());
+  const Ticket ticket{"s", kPeer, 1, 4};
+  Submission job = this->Job(ticket);
+  job.deadline = seconds(120);
+  this->Send(JobSubmitted{1, job});
+  this->Send(ForwardReplied{1, kPeer, ForwardReply{{1, 3}, false}});
+  this->Wait(Milliseconds(200));
+  ASSERT_NE(this->Find<SendSeal>(), nullptr);
+  this->Send(SealReplied{kAgent, ticket, Error{ErrorKind::kUnreachable, ""}});
+  ASSERT_NE(this->Answered(1), nullptr);
+  EXPECT_EQ(this->Answered(1)->reason, "outcome_unknown");
+  EXPECT_FALSE(this->Answered(1)->not_run);
+}
+
 // Calls to one peer wait behind each other, so a frozen owner of many jobs would delay the salvage
 // of each by the timeouts of all before it.
 TEST_F(EntryCoreTest, OneTimeoutOfADeadOwnerSalvagesAllItsJobs) {
--- a/tests/core/salvage_test.cc
+++ b/tests/core/salvage_test.cc
@@ -56,6 +56,24 @@
   EXPECT_TRUE(salvage.Conclude(kStart)->not_run);
 }
 
+// Callers of a data centre that died would each wait for its agents to be declared lost once more.
+// An agent that answers after all still counts.
+TEST(SalvageTest, OneCallSettlesAnAgentThatWasDeclaredLost) {
+  const Salvage::Limits limits{kStart + Milliseconds(1000), kStart + Milliseconds(5000)};
+  for (const bool answers : {false, true}) {
+    Salvage salvage(kTicket, 1, {{kFirst, "a", true}}, true, limits);
+    EXPECT_EQ(salvage.TakeDue(kStart).size(), 1U);
+    EXPECT_FALSE(salvage.Conclude(kStart));
+    if (answers) {
+      salvage.OnReply(kFirst, Sealed(kFirst), kStart);
+    } else {
+      salvage.OnReply(kFirst, Error{ErrorKind::kUnreachable, ""}, kStart);
+    }
+    ASSERT_TRUE(salvage.Conclude(kStart));
+    EXPECT_EQ(salvage.Conclude(kStart)->not_run, answers);
+  }
+}
+
 // Each case below lacks one piece of the proof; "not run" would let a caller run the job twice.
 TEST(SalvageTest, DoesNotSayNotRunWithoutProof) {
   Salvage unknown_roster = MakeSalvage(false);
