--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -51,6 +51,17 @@
   return object;
 }
 
+Json::Value LineJson(const JobLine& line) {
+  Json::Value object;
+  object["kind"] = line.kind;
+  object["tasks"] = static_cast<Json::UInt64>(line.tasks);
+  object["at_ms"] = Round(line.at_ms);
+  object["end"] = line.end;
+  object["response_ms"] = Round(line.response_ms);
+  object["clairvoyant_ms"] = Round(line.clairvoyant_ms);
+  return object;
+}
+
 }  // namespace
 
 double Percentile(std::vector<double> samples, double share) {
@@ -83,6 +94,9 @@
     }
     if (jobs[i].at_ms < from_ms) continue;
     ++report.measured_jobs;
+    report.lines.push_back({workload.kinds[jobs[i].kind].name, jobs[i].tasks.size(), jobs[i].at_ms,
+                            complete ? "complete" : record.answer.reason, record.response_ms,
+                            clairvoyant[i]});
     if (!complete) continue;
     responses.push_back(record.response_ms);
     ideals.push_back(clairvoyant[i]);
@@ -129,6 +143,8 @@
   root["tasks_started"] = static_cast<Json::UInt64>(this->evidence.tasks_started);
   root["unread_sources"] = static_cast<Json::UInt64>(this->evidence.unread);
   root["violations"] = CountsJson(this->violations);
+  root["jobs_measured"] = Json::Value(Json::arrayValue);
+  for (const JobLine& line : this->lines) root["jobs_measured"].append(LineJson(line));
   return Json::writeString(Json::StreamWriterBuilder(), root) + "\n";
 }
 
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -25,6 +25,17 @@
   std::uint64_t unread = 0;
 };
 
+/// One measured job, so that the longest responses can be looked up.
+struct JobLine {
+  std::string kind;
+  std::size_t tasks = 0;
+  double at_ms = 0;
+  /// "complete", or the reason or error of another answer.
+  std::string end;
+  double response_ms = 0;
+  double clairvoyant_ms = 0;
+};
+
 struct LoadReport {
   std::uint64_t jobs = 0;
   std::uint64_t measured_jobs = 0;
@@ -49,6 +60,7 @@
   RunEvidence evidence;
   /// Answers that break a guarantee, by what is wrong, with the evidence's violations.
   std::map<std::string, std::uint64_t> violations;
+  std::vector<JobLine> lines;
 
   std::uint64_t ViolationCount() const;
 
