Let long-waiting tasks overtake urgent ones, and share starts among teams

Cause: waiting tasks were ordered strictly by urgency, so the least urgent kind waited for all others (rabaryog's tail), and a team's burst of large jobs went before other teams' jobs.

Change: StartQueue keeps a FairQueue (start-time fair queueing among teams) per urgency level and one for tasks that have waited 5% of their time to deadline, which goes before all levels. Each change and each step of a walk is logarithmic. Admission counts in that order: waiting work of other teams up to a fair share, what they bring meanwhile, less urgent work that overtakes earlier, and urgent arrivals only until the job overtakes them. CountUpTo and WorkUpTo are replaced by WorkAhead; the order test now reads the order through a walk, with the same checks.

--- a/src/core/admission.cc
+++ b/src/core/admission.cc
@@ -22,6 +22,14 @@
 /// One task may run in half its expected time, on a faster endpoint or because runs vary.
 constexpr double kOwnRunFactor = 0.5;
 
+/// Time in which `slots` do this work when more urgent arrivals take some of them until
+/// `overtakes_after`. All in microseconds.
+double TimeFor(double work, double slots, double urgent_slots, double overtakes_after) {
+  const double left = std::max(slots - urgent_slots, slots * kLeastShare);
+  const double done = left * overtakes_after;
+  return work <= done ? work / left : overtakes_after + (work - done) / slots;
+}
+
 Error MakeError(ErrorKind kind, std::string message) { return Error{kind, std::move(message)}; }
 
 bool IsAmount(double value) { return std::isfinite(value) && value >= 0; }
@@ -108,9 +116,11 @@
   const double ahead = static_cast<double>(load.queued_work.count()) +
                        static_cast<double>(load.outstanding_work.count()) / 2;
   const bool learned = model.IsLearned(submission.kind);
-  const double left = std::max(slots - load.urgent_slots, slots * kLeastShare);
-  const double wait = ahead / left * (learned ? kLearnedWaitFactor : kUnlearnedWaitFactor);
-  const double own = learned ? std::max(work / left, longest) * kOwnRunFactor : 0;
+  const auto overtakes_after = static_cast<double>(load.overtakes_after.count());
+  const double start = TimeFor(ahead, slots, load.urgent_slots, overtakes_after);
+  const double end = TimeFor(ahead + work, slots, load.urgent_slots, overtakes_after);
+  const double wait = start * (learned ? kLearnedWaitFactor : kUnlearnedWaitFactor);
+  const double own = learned ? std::max(end - start, longest) * kOwnRunFactor : 0;
   const double finish_ms = (wait + own) / 1000;
   if (finish_ms <= static_cast<double>(deadline.count())) {
     return std::nullopt;
--- a/src/core/admission.h
+++ b/src/core/admission.h
@@ -12,17 +12,18 @@
 
 /// What the entry knows about its load when a job arrives.
 struct LoadView {
-  /// Tasks that wait at this entry, and their summed expected run time at speed 1, counting only
-  /// those at least as urgent as the new job.
+  /// Tasks that wait at this entry.
   std::uint32_t queued_tasks = 0;
+  /// Summed expected run time, at speed 1, of waiting tasks that start before the new job's last.
   Microseconds queued_work{0};
   /// Work sent to agents and not settled, at speed 1.
   Microseconds outstanding_work{0};
   /// Slots of usable agents, weighted by speed, less those that other entries occupy.
   double effective_slots = 0;
-  /// Slots of speed 1 that more urgent arrivals keep busy lately. They pass the new job while it
-  /// waits.
+  /// Slots of speed 1 that more urgent arrivals keep busy lately. They pass the new job until it
+  /// has waited so long that it overtakes them.
   double urgent_slots = 0;
+  Microseconds overtakes_after = Microseconds::max();
   bool has_agents = false;
 };
 
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -164,6 +164,7 @@
   void Count(const Answer& answer);
 
   // Starts (entry_core_starts.cc).
+  static void QueueTask(ServiceState& service, const Job& job, std::uint32_t index);
   void PlaceTasks(ServiceState& service);
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
--- a/src/core/entry_core_agents.cc
+++ b/src/core/entry_core_agents.cc
@@ -75,7 +75,7 @@
       this->batcher.Remove(incarnation, ref);
       task.state = JobTaskState::kWaiting;
       task.agent = {};
-      service.queue.Add(ref, job.urgency, job.deadline, task.expected);
+      QueueTask(service, job, ref.index);
     } else {
       this->EndTask(job, ref.index, JobTaskState::kUnknown);
       lost_jobs.insert(ref.job);
--- a/src/core/entry_core_settlement.cc
+++ b/src/core/entry_core_settlement.cc
@@ -144,7 +144,7 @@
   task.agent = {};
   task.channel_sequence = 0;
   ServiceState& service = *this->FindService(job.ticket.service);
-  service.queue.Add(ref, job.urgency, job.deadline, task.expected);
+  QueueTask(service, job, ref.index);
 }
 
 void EntryCore::Withdraw(const TaskRef& ref, bool stop_running) {
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -1,5 +1,6 @@
 // Placement of waiting tasks.
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -91,6 +92,15 @@
   return usable;
 }
 
+void EntryCore::QueueTask(ServiceState& service, const Job& job, std::uint32_t index) {
+  service.queue.Add({{job.id, index},
+                     job.urgency,
+                     job.team,
+                     job.submitted,
+                     job.deadline,
+                     job.tasks[index].expected});
+}
+
 void EntryCore::PlaceTasks(ServiceState& service) {
   if (service.queue.Size() == 0) {
     return;
@@ -98,15 +108,18 @@
   std::vector<Usable> usable = this->UsableAgents(service);
   std::uint32_t declined = 0;
   std::uint32_t blocked = 0;
-  const auto& items = service.queue.Items();
-  for (auto next = items.begin(); next != items.end() && !usable.empty();) {
-    // Placing the task takes it out of the queue.
-    const StartQueue::Item item = *next++;
-    Job& job = *this->jobs.Find(item.task.job);
-    if (item.deadline <= this->now) {
+  service.queue.Advance(this->now);
+  StartQueue::Walk walk(service.queue);
+  while (!usable.empty()) {
+    const std::optional<TaskRef> next = walk.Next();
+    if (!next) {
+      return;
+    }
+    Job& job = *this->jobs.Find(next->job);
+    if (job.deadline <= this->now) {
       continue;
     }
-    const Placed placed = this->Place(service, job, item.task.index, usable, declined + blocked);
+    const Placed placed = this->Place(service, job, next->index, usable, declined + blocked);
     declined += placed == Placed::kDeclined ? 1 : 0;
     blocked += placed == Placed::kBlocked ? 1 : 0;
     const bool any_free = std::ranges::any_of(
@@ -191,7 +204,7 @@
   Task& task = job.tasks[index];
   Agent& agent = *usable.agent;
   const TaskRef ref{job.id, index};
-  service.queue.Remove(ref);
+  service.queue.Take(ref);
   if (task.refusals == 0) {
     service.retry_budget.Earn();
   } else {
--- a/src/core/entry_core_submissions.cc
+++ b/src/core/entry_core_submissions.cc
@@ -1,5 +1,7 @@
 // Jobs, queries and cancellations as they arrive.
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -264,7 +266,6 @@
   const auto* kind = service.configuration->FindKind(submission.kind);
   const int urgency = kind == nullptr ? 0 : kind->urgency;
   load.queued_tasks = static_cast<std::uint32_t>(service.queue.Size());
-  load.queued_work = service.queue.WorkUpTo(urgency);
   load.urgent_slots = service.arrivals.SlotsAhead(urgency, this->now);
   for (const auto& [incarnation, agent] : this->directory.Agents()) {
     const bool usable = agent.member && !agent.leaving && agent.announce.service == service.name &&
@@ -285,6 +286,22 @@
     load.effective_slots +=
         (agent.announce.worker.slots - others) * service.model.Speed(agent.announce.name);
   }
+  StartQueue::Newcomer job;
+  job.urgency = urgency;
+  const std::string team = service.CountedTeam(submission.team);
+  job.team = team;
+  for (const auto& [name, rates] : service.team_arrivals) {
+    job.arrivals[name] = rates.SlotsAhead(1, this->now) / std::max(1.0, load.effective_slots);
+  }
+  for (const TaskSpec& spec : submission.tasks) {
+    job.work += service.model.Expected(submission.kind, spec.declared);
+  }
+  job.overtakes_at =
+      StartQueue::OvertakesAt(this->now, this->now + JobDeadline(service, submission));
+  load.overtakes_after = std::chrono::duration_cast<Microseconds>(job.overtakes_at - this->now);
+  job.done_until_then = Microseconds(
+      std::llround(static_cast<double>(load.overtakes_after.count()) * load.effective_slots));
+  load.queued_work = service.queue.WorkAhead(job);
   return load;
 }
 
@@ -304,17 +321,20 @@
   fresh.body_hash = submission.body_hash;
   fresh.kind = submission.kind;
   fresh.urgency = service.configuration->FindKind(submission.kind)->urgency;
+  fresh.team = service.CountedTeam(submission.team);
+  fresh.submitted = this->now;
   fresh.deadline = this->now + JobDeadline(service, submission);
   for (const TaskSpec& spec : submission.tasks) {
     Task task;
     task.spec = spec;
     task.expected = service.model.Expected(submission.kind, spec.declared);
     service.arrivals.Add(fresh.urgency, task.expected, this->now);
+    service.team_arrivals[fresh.team].Add(0, task.expected, this->now);
     fresh.tasks.push_back(std::move(task));
   }
   Job& job = this->jobs.Add(std::move(fresh));
   for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
-    service.queue.Add({job.id, index}, job.urgency, job.deadline, job.tasks[index].expected);
+    QueueTask(service, job, index);
   }
   this->Attach(job, waiter, submission.body_hash);
 }
--- a/src/core/job_table.h
+++ b/src/core/job_table.h
@@ -82,7 +82,9 @@
   Ticket ticket;
   std::uint64_t body_hash = 0;
   std::string kind;
+  std::string team;
   int urgency = 0;
+  Time submitted{};
   Time deadline{};
   std::vector<Task> tasks;
   std::vector<Waiter> waiters;
--- a/src/core/service_state.cc
+++ b/src/core/service_state.cc
@@ -25,6 +25,9 @@
     }
   }
   this->configuration = std::move(newer);
+  std::erase_if(this->team_arrivals, [this](const auto& element) {
+    return !element.first.empty() && this->configuration->FindTeam(element.first) == nullptr;
+  });
   this->ledger.SetLimits(this->configuration->tickets);
   this->health.SetLimits(this->configuration->health.eject_after,
                          this->configuration->health.probe_after);
--- a/src/core/service_state.h
+++ b/src/core/service_state.h
@@ -1,6 +1,7 @@
 /// What an entry holds for one service.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -30,6 +31,8 @@
   StartQueue queue;
   RunTimeModel model;
   ArrivalRates arrivals;
+  /// Of each configured team, with urgency 0 for all work.
+  std::map<std::string, ArrivalRates, std::less<>> team_arrivals;
   QuotaTable quotas;
   HealthTracker health;
   RetryBudget retry_budget;
@@ -41,6 +44,12 @@
   /// Some job may have lost its last possible agent.
   bool jobs_at_risk = false;
 
+  /// The team that a caller's work is counted for. Callers could make up any number of names, so
+  /// those outside the configuration share one.
+  std::string CountedTeam(const std::string& team) const {
+    return this->configuration->FindTeam(team) == nullptr ? std::string() : team;
+  }
+
   bool IsConfigured() const { return this->configuration->version != 0; }
 };
 
--- a/src/core/start_queue.h
+++ b/src/core/start_queue.h
@@ -4,57 +4,109 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
-#include <tuple>
+#include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 
+#include "core/fair_queue.h"
 #include "core/job_table.h"
 #include "core/types.h"
 
 namespace quetzalvale {
 
-/// Orders waiting tasks by urgency, then by deadline, then by arrival. Not thread-safe.
+/// Orders waiting tasks by rank. A more urgent kind goes first, but a task overtakes all that have
+/// not done so once it has waited for a fixed share of its time to deadline. Within one urgency
+/// level, and among the overtaking tasks, teams get fair shares. Within one team, the earliest
+/// deadline goes first, and among overtaking tasks the one that overtook first. Not thread-safe.
 class StartQueue {
  public:
-  struct Item {
+  struct Waiting {
+    TaskRef task;
     int urgency = 0;
+    std::string team;
+    Time submitted{};
     Time deadline{};
-    TaskRef task;
+    /// Expected run time at speed 1.
+    Microseconds expected{0};
+  };
 
-    bool operator<(const Item& other) const {
-      return std::tie(this->urgency, this->deadline, this->task) <
-             std::tie(other.urgency, other.deadline, other.task);
-    }
+  /// A job that may be submitted, for WorkAhead.
+  struct Newcomer {
+    int urgency = 0;
+    std::string_view team;
+    /// Summed expected run time of its tasks.
+    Microseconds work{0};
+    Time overtakes_at{};
+    /// Work that the workers do until then.
+    Microseconds done_until_then{0};
+    /// Work that each team brings lately, as a share of what the workers do in the same time.
+    std::map<std::string, double, std::less<>> arrivals;
   };
 
-  /// Adds a task that is not waiting yet.
-  void Add(const TaskRef& task, int urgency, Time deadline, Microseconds expected);
+  /// The time at which a task overtakes more urgent ones.
+  static Time OvertakesAt(Time submitted, Time deadline);
+
+  /// Does nothing when the task is waiting already.
+  void Add(const Waiting& waiting);
 
-  /// Does nothing when the task is not waiting.
+  /// Lets tasks overtake whose time has come.
+  void Advance(Time now);
+
+  /// Take is for a task that is placed and charges it to its team. Both do nothing when the task is
+  /// not waiting.
   void Remove(const TaskRef& task);
+  void Take(const TaskRef& task);
+
+  std::size_t Size() const { return this->entries.size(); }
+
+  /// Summed expected run time of the tasks that start before the last one of a new job: those that
+  /// wait, and those of other teams that arrive meanwhile and pass it by their fair share.
+  Microseconds WorkAhead(const Newcomer& job) const;
 
-  /// In the order in which tasks are placed.
-  const std::set<Item>& Items() const { return this->items; }
+  /// Visits the tasks in the order in which they are placed. The task visited last may be taken or
+  /// removed; other changes of the queue invalidate the walk.
+  class Walk {
+   public:
+    explicit Walk(const StartQueue& queue);
 
-  std::size_t Size() const { return this->items.size(); }
+    std::optional<TaskRef> Next();
 
-  /// Number and summed expected run time of waiting tasks at least as urgent as this.
-  std::size_t CountUpTo(int urgency) const;
-  Microseconds WorkUpTo(int urgency) const;
+   private:
+    const StartQueue* queue;
+    std::map<int, FairQueue>::const_iterator next_level;
+    FairQueue::Walk current;
+  };
 
  private:
   struct Entry {
-    Item item;
-    Microseconds expected{0};
+    Waiting waiting;
+    FairQueue::Item item;
+    bool overtakes = false;
   };
-  struct Load {
-    std::size_t count = 0;
+  struct Later {
+    std::size_t tasks = 0;
     Microseconds work{0};
   };
+  /// What overtakes within each step of time.
+  using LaterByStep = std::map<std::int64_t, Later>;
+
+  FairQueue& QueueOf(const Entry& entry);
+  void LeaveLevel(const Entry& entry);
+  /// The part of WorkAhead that fair shares give.
+  Microseconds FairWorkAhead(const Newcomer& job) const;
+  /// Less urgent work that overtakes before the job does.
+  Microseconds LaterWorkAhead(const Newcomer& job) const;
+  void Erase(const TaskRef& task, bool taken);
 
-  std::set<Item> items;
   std::unordered_map<TaskRef, Entry> entries;
-  std::map<int, Load> loads;
+  FairQueue overtaking;
+  /// Tasks that do not overtake yet, by urgency.
+  std::map<int, FairQueue> levels;
+  std::map<int, LaterByStep> later_work;
+  std::set<std::pair<Time, TaskRef>> overtakes_next;
 };
 
 }  // namespace quetzalvale
--- /dev/null
+++ b/tests/core/start_queue_test.cc
@@ -0,0 +1,169 @@
+#include "core/start_queue.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace quetzalvale {
+namespace {
+
+const Time kStart{std::chrono::seconds(100)};
+/// Tasks with this time to deadline overtake after 1 s.
+constexpr Milliseconds kDeadline{20000};
+
+StartQueue::Waiting Make(std::uint64_t job, int urgency, Time deadline, std::int64_t expected_us) {
+  return {{job, 0}, urgency, "a", kStart, deadline, Microseconds(expected_us)};
+}
+
+std::vector<std::uint64_t> Order(const StartQueue& queue) {
+  std::vector<std::uint64_t> jobs;
+  StartQueue::Walk walk(queue);
+  while (const auto task = walk.Next()) jobs.push_back(task->job);
+  return jobs;
+}
+
+Microseconds Ahead(const StartQueue& queue, int urgency) {
+  return queue.WorkAhead({urgency, "a", Microseconds(1000), kStart, Microseconds(0), {}});
+}
+
+TEST(StartQueueTest, OrdersByUrgencyThenDeadline) {
+  StartQueue queue;
+  const Time deadline = kStart + kDeadline;
+  queue.Add(Make(1, 1, deadline, 10));
+  queue.Add(Make(2, 0, deadline + Milliseconds(5), 20));
+  queue.Add(Make(3, 0, deadline, 40));
+  EXPECT_EQ(Order(queue), (std::vector<std::uint64_t>{3, 2, 1}));
+  EXPECT_EQ(Ahead(queue, 0), Microseconds(60));
+  queue.Remove({3, 0});
+  queue.Remove({3, 0});
+  EXPECT_EQ(Ahead(queue, 1), Microseconds(30));
+  EXPECT_EQ(queue.Size(), 2U);
+}
+
+// A steady stream of urgent tasks would otherwise keep the others waiting up to their deadline.
+TEST(StartQueueTest, LongWaitingTaskOvertakesMoreUrgentOnes) {
+  StartQueue queue;
+  const Time overtakes_at = StartQueue::OvertakesAt(kStart, kStart + kDeadline);
+  EXPECT_EQ(overtakes_at, kStart + kDeadline / 20);
+  queue.Add(Make(1, 2, kStart + kDeadline, 10));
+  queue.Add(Make(2, 0, kStart + 2 * kDeadline, 20));
+  queue.Advance(overtakes_at - Milliseconds(1));
+  EXPECT_EQ(Order(queue).front(), 2U);
+  // An urgent job that overtakes later than the first task starts after it.
+  EXPECT_EQ(Ahead(queue, 0), Microseconds(20));
+  const StartQueue::Newcomer late{
+      0, "a", Microseconds(1), overtakes_at + Milliseconds(200), Microseconds(0), {}};
+  EXPECT_EQ(queue.WorkAhead(late), Microseconds(30));
+  queue.Advance(overtakes_at);
+  EXPECT_EQ(Order(queue).front(), 1U);
+  EXPECT_EQ(queue.WorkAhead({0, "b", Microseconds(30), {}, Microseconds(0), {}}), Microseconds(30));
+  queue.Advance(kStart + 2 * kDeadline);
+  EXPECT_EQ(Order(queue), (std::vector<std::uint64_t>{1, 2}));
+  queue.Take({1, 0});
+  queue.Take({2, 0});
+  EXPECT_EQ(queue.Size(), 0U);
+  EXPECT_EQ(Ahead(queue, 2), Microseconds(0));
+}
+
+// Work of another team that arrives later and passes a job by its fair share must count, or jobs of
+// the team with the longer queue are taken and then fail at their deadlines.
+TEST(StartQueueTest, FairSharesBoundTheWorkAhead) {
+  StartQueue queue;
+  for (std::uint64_t job = 1; job <= 6; ++job) queue.Add(Make(job, 0, kStart + kDeadline, 100));
+  queue.Add({{7, 0}, 0, "b", kStart, kStart + kDeadline, Microseconds(50)});
+  StartQueue::Newcomer job{0, "c", Microseconds(150), kStart, Microseconds(0), {}};
+  EXPECT_EQ(queue.WorkAhead(job), Microseconds(150 + 50));
+  // All overtaking work goes first until the job overtakes.
+  queue.Advance(kStart + kDeadline);
+  job.done_until_then = Microseconds(400);
+  EXPECT_EQ(queue.WorkAhead(job), Microseconds(400));
+  StartQueue::Newcomer more{0, "a", Microseconds(100), kStart, Microseconds(0), {}};
+  EXPECT_EQ(queue.WorkAhead(more), Microseconds(600 + 50));
+  // A fifth of what is done meanwhile arrives for b: t = 700 + 50 + t / 5, less the job's own 100.
+  more.arrivals = {{"b", 0.2}};
+  EXPECT_NEAR(static_cast<double>(queue.WorkAhead(more).count()), 837, 2);
+  // More arrivals of b get no more than a's share.
+  more.arrivals = {{"b", 5}};
+  EXPECT_EQ(queue.WorkAhead(more), Microseconds(1300));
+}
+
+FairQueue::Item Item(std::uint64_t job, int rank, std::int64_t expected_us) {
+  return {kStart + Milliseconds(rank), {job, 0}, Microseconds(expected_us)};
+}
+
+/// Takes the first tasks and returns their jobs.
+std::vector<std::uint64_t> TakeAll(FairQueue& queue,
+                                   const std::vector<std::pair<std::string, FairQueue::Item>>& in) {
+  std::vector<std::uint64_t> jobs;
+  for (std::size_t i = 0; i < in.size(); ++i) {
+    FairQueue::Walk walk(queue);
+    const auto task = walk.Next();
+    for (const auto& [team, item] : in) {
+      if (item.task == *task) queue.Take(team, item);
+    }
+    jobs.push_back(task->job);
+  }
+  return jobs;
+}
+
+// A burst of large jobs from one team would otherwise delay the jobs of the others to its end.
+TEST(FairQueueTest, SharesStartsByWorkAmongTeams) {
+  std::vector<std::pair<std::string, FairQueue::Item>> in;
+  for (int i = 0; i < 6; ++i) in.emplace_back("a", Item(10 + i, i, 100));
+  for (int i = 0; i < 3; ++i) in.emplace_back("b", Item(20 + i, 100 + i, 200));
+  FairQueue queue;
+  for (const auto& [team, item] : in) queue.Add(team, item);
+  std::vector<std::uint64_t> walked;
+  FairQueue::Walk walk(queue);
+  while (const auto task = walk.Next()) walked.push_back(task->job);
+  const std::vector<std::uint64_t> expected{10, 20, 11, 12, 21, 13, 14, 22, 15};
+  EXPECT_EQ(walked, expected);
+  EXPECT_EQ(TakeAll(queue, in), expected);
+  EXPECT_EQ(queue.Work(), Microseconds(0));
+}
+
+// A team that was idle while another worked must not get all starts until it has caught up, and one
+// that left and came back must not escape what it was charged.
+TEST(FairQueueTest, IdleTeamEarnsNoCreditAndKeepsItsCharge) {
+  FairQueue queue;
+  for (int i = 0; i < 6; ++i) queue.Add("a", Item(10 + i, i, 100));
+  for (int i = 0; i < 3; ++i) queue.Take("a", Item(10 + i, i, 100));
+  queue.Add("b", Item(20, 0, 500));
+  queue.Add("b", Item(21, 1, 500));
+  FairQueue::Walk first(queue);
+  EXPECT_EQ(first.Next()->job, 20U);
+  EXPECT_EQ(first.Next()->job, 13U);
+  queue.Take("b", Item(20, 0, 500));
+  queue.Remove("b", Item(21, 1, 500));
+  queue.Add("b", Item(22, 0, 100));
+  FairQueue::Walk second(queue);
+  EXPECT_EQ(second.Next()->job, 13U);
+  EXPECT_EQ(second.Next()->job, 14U);
+}
+
+// Placing tasks during a walk moves their team to a later turn, where it must not be visited twice.
+TEST(FairQueueTest, WalkVisitsEachTaskOnceWhileTasksAreTaken) {
+  FairQueue queue;
+  std::map<TaskRef, std::pair<std::string, FairQueue::Item>> in;
+  for (int i = 0; i < 40; ++i) {
+    const FairQueue::Item item = Item(i, i % 7, 10 + i % 5);
+    const std::string team(1, static_cast<char>('a' + i % 4));
+    in.emplace(item.task, std::pair(team, item));
+    queue.Add(team, item);
+  }
+  std::set<TaskRef> walked;
+  FairQueue::Walk walk(queue);
+  while (const auto task = walk.Next()) {
+    EXPECT_TRUE(walked.insert(*task).second);
+    const auto& [team, item] = in.at(*task);
+    if (task->job % 3 != 0) queue.Take(team, item);
+  }
+  EXPECT_EQ(walked.size(), in.size());
+}
+
+}  // namespace
+}  // namespace quetzalvale
--- a/tests/core/start_tables_test.cc
+++ b/tests/core/start_tables_test.cc
@@ -2,7 +2,6 @@
 
 #include "core/job_table.h"
 #include "core/start_batcher.h"
-#include "core/start_queue.h"
 #include "core/withdraw_queue.h"
 
 namespace quetzalvale {
@@ -11,21 +10,6 @@
 const Time kStart{std::chrono::seconds(100)};
 constexpr Incarnation kAgent{5, 1};
 
-TEST(StartQueueTest, OrdersByUrgencyThenDeadline) {
-  StartQueue queue;
-  queue.Add({1, 0}, 1, kStart, Microseconds(10));
-  queue.Add({2, 0}, 0, kStart + Milliseconds(5), Microseconds(20));
-  queue.Add({3, 0}, 0, kStart, Microseconds(40));
-  std::vector<std::uint64_t> jobs;
-  for (const auto& item : queue.Items()) jobs.push_back(item.task.job);
-  EXPECT_EQ(jobs, (std::vector<std::uint64_t>{3, 2, 1}));
-  EXPECT_EQ(queue.WorkUpTo(0), Microseconds(60));
-  queue.Remove({3, 0});
-  queue.Remove({3, 0});
-  EXPECT_EQ(queue.WorkUpTo(1), Microseconds(30));
-  EXPECT_EQ(queue.CountUpTo(1), 2U);
-}
-
 TEST(StartBatcherTest, SendsWhenDueOrFull) {
   StartBatcher batcher;
   batcher.Add(kAgent, {1, 0}, kStart, Microseconds(500), 3);
--- a/tests/policy/admission_test.cc
+++ b/tests/policy/admission_test.cc
@@ -110,6 +110,15 @@
   EXPECT_EQ(this->Check(), std::nullopt);
 }
 
+// Fails when a job is refused for urgent arrivals that it overtakes.
+TEST_F(AdmissionTest, CountsUrgentArrivalsOnlyUntilTheJobOvertakes) {
+  this->load.queued_work = seconds(20);
+  this->load.urgent_slots = 6;
+  EXPECT_EQ(this->Check(), ErrorKind::kDeadlineUnreachable);
+  this->load.overtakes_after = seconds(1);
+  EXPECT_EQ(this->Check(), std::nullopt);
+}
+
 // Fails when a guess refuses a job: with a kind that never ran, the queue's size is not known.
 TEST_F(AdmissionTest, DoesNotRefuseOnAGuess) {
   this->load.queued_work = seconds(60);
