--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -11,8 +11,9 @@
 
 }  // namespace
 
-AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses)
-    : AgentCore(std::move(identity), std::move(seed_entry_addresses), AgentGuards(),
+AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
+                     AgentGuards guards)
+    : AgentCore(std::move(identity), std::move(seed_entry_addresses), std::move(guards),
                 TaskStore::Limits(), StartedTickets::kDefaultTasks, SealedTickets::Limits()) {}
 
 AgentCore::AgentCore(AgentIdentity identity, std::vector<std::string> seed_entry_addresses,
--- a/src/core/agent_core_starts.cc
+++ b/src/core/agent_core_starts.cc
@@ -79,7 +79,7 @@
 }
 
 StartRefusal AgentCore::DecideNew(const StartRequest& request, const StartItem& item) {
-  if (this->leaving) {
+  if (this->guards.refuses_starts(this->leaving)) {
     return StartRefusal::kLeaving;
   }
   if (this->guards.is_sealed(this->sealed, item.task.ticket)) {
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -17,8 +17,10 @@
 }  // namespace
 
 EntryCore::EntryCore(EntryInfo self_info, std::vector<std::string> service_names,
-                     std::vector<std::string> seed_addresses, std::uint64_t seed)
+                     std::vector<std::string> seed_addresses, std::uint64_t seed,
+                     EntryGuards entry_guards)
     : self(std::move(self_info)),
+      guards(std::move(entry_guards)),
       random(seed),
       directory(this->self.incarnation),
       peers(this->self, seed_addresses) {
@@ -73,14 +75,7 @@
     service.ledger.Expire(this->now);
     kept = std::max<Time::duration>(kept, tickets.valid + tickets.answer_kept);
   }
-  for (const auto& [entry, peer] : this->peers.Peers()) {
-    if (this->IsPeerAlive(entry)) {
-      continue;
-    }
-    for (auto& [name, service] : this->services) {
-      service.quotas.ForgetPeer(entry);
-    }
-  }
+  this->SweepQuotas();
   this->directory.Expire(kept, this->now);
   this->salvaged.Expire(this->now);
   std::erase_if(this->adopted,
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -16,6 +16,7 @@
 #include "core/answer_outbox.h"
 #include "core/answer_store.h"
 #include "core/entry_events.h"
+#include "core/entry_guards.h"
 #include "core/entry_status.h"
 #include "core/forward_table.h"
 #include "core/job_table.h"
@@ -33,7 +34,7 @@
  public:
   /// `seed_addresses` are the inner addresses of other entries known from the settings.
   EntryCore(EntryInfo self, std::vector<std::string> services,
-            std::vector<std::string> seed_addresses, std::uint64_t seed);
+            std::vector<std::string> seed_addresses, std::uint64_t seed, EntryGuards guards = {});
 
   std::vector<EntryAction> Handle(Time event_time, const EntryEvent& event);
 
@@ -182,6 +183,7 @@
   void Count(const Answer& answer);
 
   // Starts (entry_core_starts.cc).
+  static void QueueTask(ServiceState& service, const Job& job, std::uint32_t index);
   void PlaceTasks(ServiceState& service);
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
@@ -233,6 +235,9 @@
   void SendHellos();
   void TellRoster();
   void ReadHello(const Hello& hello);
+  /// Whether the peer takes no jobs any more.
+  bool HasDeparted(const Peer& peer) const;
+  void SweepQuotas();
   void SubmitForeign(ServiceState& service, const Waiter& waiter, const Submission& submission);
   bool AnswerForeign(const Waiter& waiter, const Ticket& ticket, std::uint64_t body_hash);
   void SweepForwards();
@@ -250,6 +255,7 @@
   bool IsLeaving() const { return this->departure.stage != Departure::Stage::kNone; }
 
   EntryInfo self;
+  EntryGuards guards;
   Random random;
   Time now{};
   bool started = false;
--- a/src/core/entry_core_settlement.cc
+++ b/src/core/entry_core_settlement.cc
@@ -50,7 +50,7 @@
     this->SettleStart(*reply, event.agent, event.channel_sequence, tasks);
     return;
   }
-  const bool not_sent = GetError(event.reply).kind == ErrorKind::kUnreachable;
+  const bool not_sent = this->guards.never_sent(GetError(event.reply));
   if (not_sent) {
     this->Pause(*agent);
   }
@@ -149,7 +149,7 @@
   task.agent = {};
   task.channel_sequence = 0;
   ServiceState& service = *this->FindService(job.ticket.service);
-  service.queue.Add(ref, job.urgency, job.deadline, task.expected);
+  QueueTask(service, job, ref.index);
 }
 
 void EntryCore::Withdraw(const TaskRef& ref, bool stop_running) {
