Hand over ledgers in small parts that count only as a whole

Cause: every part of a hand-over repeated all used sequences of the ledger. With 300,000 used tickets and 10,000 retained answers that made 40 messages with all 300,000 numbers each, and as much memory in the leaving entry. A successor answered from its first part on, so one that refused or was given up half-way kept answering "answer expired" for answers that the next successor had, and was named by its hellos. The memory of adopted ledgers was bounded only by their number (256, each up to 80 MB).

Used sequences are now spread over numbered parts. A successor answers when it has all of them, accepts them in order or again from the first, and drops an unfinished ledger after 15 s. Adopted ledgers together take 128 MB at most; further parts are refused, and another successor is chosen.

Ruled out: ranges of used sequences (small in the usual case, but every second ticket used makes them as large as the list).

The test HandsOverWhatWasUsedInEveryPart demanded that each part alone tells used from unused tickets. Parts no longer do, so it is replaced by SaysUnusedOnlyWhenAllPartsAreThere, which demands that no prefix of the parts calls any ticket unused, and that all parts tell each ticket.

--- a/src/core/answer_store.h
+++ b/src/core/answer_store.h
@@ -64,6 +64,9 @@
 
   std::size_t Size() const { return this->entries.size(); }
 
+  /// Approximate memory of the answers.
+  std::size_t TotalBytes() const { return this->bytes; }
+
   /// Keys from the oldest to the newest answer.
   const std::deque<Key>& Keys() const { return this->order; }
 
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -76,8 +76,7 @@
   this->SweepQuotas();
   this->directory.Expire(kept, this->now);
   this->salvaged.Expire(this->now);
-  std::erase_if(this->adopted,
-                [&](const auto& element) { return this->now - element.second.adopted >= kept; });
+  this->ExpireAdopted(kept);
 }
 
 void EntryCore::Finish() {
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -221,6 +221,9 @@
   void BeginHandOver();
   void ContinueHandOver();
   void ChooseSuccessor();
+  /// Whether this entry can be the successor for the ledger.
+  bool MayAdopt(const HandOver& message) const;
+  void ExpireAdopted(Time::duration kept);
   void TellSuccession();
   bool IsLeaving() const { return this->departure.stage != Departure::Stage::kNone; }
 
--- a/src/core/entry_core_departure.cc
+++ b/src/core/entry_core_departure.cc
@@ -13,9 +13,15 @@
 /// Ledgers of departed entries that are held at a time.
 constexpr std::size_t kMaxAdopted = 256;
 
+/// Their memory together. One ledger has at most 32 MB of answers and 48 MB of used sequences.
+constexpr std::size_t kMaxAdoptedBytes = std::size_t{128} << 20;
+
 /// A hand-over that has found no successor by then is given up; salvage answers for the tickets.
 constexpr seconds kHandOverLimit{15};
 
+/// A hand-over that has begun here and does not go on for this long went to another successor.
+constexpr seconds kUnfinishedKept = kHandOverLimit;
+
 /// With no live peer in sight, this is how long one may still appear.
 constexpr seconds kNoPeerLimit{5};
 
@@ -76,7 +82,9 @@
     add(service.ledger);
   }
   for (const auto& [key, handed_over] : this->adopted) {
-    add(handed_over.ledger);
+    if (handed_over.ledger.IsImported()) {
+      add(handed_over.ledger);
+    }
   }
 }
 
@@ -151,38 +159,58 @@
   leaving.parts.clear();
   if (leaving.successor) {
     for (const auto& [key, handed_over] : this->adopted) {
-      this->peers.AddSuccession({key.first, *leaving.successor}, true);
+      if (handed_over.ledger.IsImported()) {
+        this->peers.AddSuccession({key.first, *leaving.successor}, true);
+      }
     }
   }
   this->peers.HelloSoon(this->now);
   this->SendHellos();
 }
 
+bool EntryCore::MayAdopt(const HandOver& message) const {
+  if (this->IsLeaving() || message.owner == this->self.incarnation ||
+      this->FindService(message.service) == nullptr) {
+    return false;
+  }
+  std::size_t bytes = 0;
+  for (const auto& [key, handed_over] : this->adopted) {
+    bytes += handed_over.ledger.ImportedBytes();
+  }
+  const bool known = this->adopted.contains({message.owner, message.service});
+  return bytes < kMaxAdoptedBytes && (known || this->adopted.size() < kMaxAdopted);
+}
+
 void EntryCore::On(const HandOverReceived& event) {
   const HandOver& message = event.message;
-  const ServiceState* service = this->FindService(message.service);
-  const std::pair key{message.owner, message.service};
-  const bool known = this->adopted.contains(key);
-  const bool accepted = service != nullptr && !this->IsLeaving() &&
-                        message.owner != this->self.incarnation &&
-                        (known || this->adopted.size() < kMaxAdopted);
+  bool accepted = this->MayAdopt(message);
   if (accepted) {
-    auto& entry = this->adopted
-                      .try_emplace(key, AdoptedLedger{TicketLedger(message.service, message.owner),
-                                                      this->now})
-                      .first->second;
-    entry.ledger.SetLimits(service->configuration->tickets);
-    entry.ledger.Import(message, this->now);
+    auto& entry =
+        this->adopted
+            .try_emplace({message.owner, message.service},
+                         AdoptedLedger{TicketLedger(message.service, message.owner), this->now})
+            .first->second;
+    entry.ledger.SetLimits(this->FindService(message.service)->configuration->tickets);
+    const bool before = entry.ledger.IsImported();
+    accepted = entry.ledger.Import(message, this->now);
     entry.adopted = this->now;
-    this->peers.AddSuccession({message.owner, this->self}, false);
-  }
-  if (accepted && !known) {
-    this->Log(1024, "ledger_adopted",
-              "owner=" + message.owner.Text() + " service=" + message.service);
-    this->peers.HelloSoon(this->now);
-    this->SendHellos();
+    if (!before && entry.ledger.IsImported()) {
+      this->peers.AddSuccession({message.owner, this->self}, false);
+      this->Log(1024, "ledger_adopted",
+                "owner=" + message.owner.Text() + " service=" + message.service);
+      this->peers.HelloSoon(this->now);
+      this->SendHellos();
+    }
   }
   this->Do(ReplyAcknowledgement{event.request, {this->self.incarnation, accepted}});
 }
 
+void EntryCore::ExpireAdopted(Time::duration kept) {
+  std::erase_if(this->adopted, [&](const auto& element) {
+    const AdoptedLedger& handed_over = element.second;
+    const Time::duration limit = handed_over.ledger.IsImported() ? kept : kUnfinishedKept;
+    return this->now - handed_over.adopted >= limit;
+  });
+}
+
 }  // namespace quetzalvale
--- a/src/core/entry_core_peers.cc
+++ b/src/core/entry_core_peers.cc
@@ -138,7 +138,9 @@
 
 EntryCore::AdoptedLedger* EntryCore::FindAdopted(const Ticket& ticket) {
   const auto found = this->adopted.find({ticket.owner, ticket.service});
-  return found == this->adopted.end() ? nullptr : &found->second;
+  // A hand-over that stops half-way goes to another successor, which answers instead.
+  const bool adopted_whole = found != this->adopted.end() && found->second.ledger.IsImported();
+  return adopted_whole ? &found->second : nullptr;
 }
 
 bool EntryCore::AnswerForeign(const Waiter& waiter, const Ticket& ticket, std::uint64_t body_hash) {
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -280,14 +280,18 @@
   Ticket ticket;
 };
 
-/// A leaving entry's ledger of used tickets, with the answers it still retains.
+/// One part of a leaving entry's ledger of used tickets, with the answers it still retains.
 struct HandOver {
   Incarnation owner;
   std::string service;
+  /// Number of this part, from zero, and of all parts. Only all parts together tell that a ticket
+  /// was not used.
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
   std::uint64_t next_sequence = 0;
   /// Sequences below the floor are used or expired.
   std::uint64_t floor = 0;
-  /// Used sequences at or above the floor.
+  /// Used sequences at or above the floor, spread over the parts.
   std::vector<std::uint64_t> used;
   struct RetainedAnswer {
     std::uint64_t sequence = 0;
--- a/src/core/ticket_ledger.cc
+++ b/src/core/ticket_ledger.cc
@@ -16,9 +16,13 @@
 constexpr int kBlockAgePart = 4;
 
 /// Limits of one part of a snapshot, so that it stays a message of ordinary size.
+constexpr std::size_t kUsedPerPart = 16384;
 constexpr std::size_t kAnswersPerPart = 256;
 constexpr std::size_t kResultBytesPerPart = std::size_t{1} << 20;
 
+/// A node of the set of used sequences.
+constexpr std::size_t kUsedBytes = 48;
+
 std::size_t ResultBytes(const Answer& answer) {
   std::size_t bytes = 0;
   for (const auto& result : answer.results) {
@@ -90,7 +94,10 @@
   if (sequence < this->floor) {
     return TicketState::kForgotten;
   }
-  return this->closed_used.contains(sequence) ? TicketState::kUsed : TicketState::kUnused;
+  if (this->closed_used.contains(sequence)) {
+    return TicketState::kUsed;
+  }
+  return this->imported ? TicketState::kUnused : TicketState::kForgotten;
 }
 
 TicketState TicketLedger::Look(const Ticket& ticket, Time now) const {
@@ -156,21 +163,31 @@
   }
 }
 
+std::vector<std::uint64_t> TicketLedger::UsedSequences() const {
+  std::vector<std::uint64_t> used(this->closed_used.begin(), this->closed_used.end());
+  for (const Block& block : this->blocks) {
+    for (std::size_t i = 0; i < block.used.size(); ++i) {
+      if (block.used[i]) {
+        used.push_back(block.first + i);
+      }
+    }
+  }
+  return used;
+}
+
 std::vector<HandOver> TicketLedger::Export() const {
   HandOver common;
   common.owner = this->owner;
   common.service = this->service;
   common.next_sequence = this->next_sequence;
   common.floor = this->floor;
-  common.used.assign(this->closed_used.begin(), this->closed_used.end());
-  for (const Block& block : this->blocks) {
-    for (std::size_t i = 0; i < block.used.size(); ++i) {
-      if (block.used[i]) {
-        common.used.push_back(block.first + i);
-      }
+  std::vector<HandOver> parts{common};
+  for (const std::uint64_t sequence : this->UsedSequences()) {
+    if (parts.back().used.size() >= kUsedPerPart) {
+      parts.push_back(common);
     }
+    parts.back().used.push_back(sequence);
   }
-  std::vector<HandOver> parts{common};
   std::size_t bytes = 0;
   for (const std::uint64_t sequence : this->answers.Keys()) {
     const auto& entry = *this->answers.Find(sequence);
@@ -182,11 +199,23 @@
     bytes += size;
     parts.back().answers.push_back({sequence, entry.body_hash, entry.answer});
   }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].part = static_cast<std::uint32_t>(i);
+    parts[i].parts = static_cast<std::uint32_t>(parts.size());
+  }
   return parts;
 }
 
-void TicketLedger::Import(const HandOver& part, Time now) {
+bool TicketLedger::Import(const HandOver& part, Time now) {
   this->closed = true;
+  if (this->imported || (part.part != 0 && part.part < this->next_part)) {
+    return true;
+  }
+  if (part.part > this->next_part) {
+    return false;
+  }
+  this->next_part = part.part + 1;
+  this->imported = this->next_part >= part.parts;
   this->next_sequence = std::max(this->next_sequence, part.next_sequence);
   this->floor = std::max(this->floor, part.floor);
   this->closed_used.insert(part.used.begin(), part.used.end());
@@ -198,6 +227,11 @@
   for (const auto& kept : part.answers) {
     this->KeepAnswer(kept.sequence, kept.body_hash, kept.answer, now);
   }
+  return true;
+}
+
+std::size_t TicketLedger::ImportedBytes() const {
+  return this->closed_used.size() * kUsedBytes + this->answers.TotalBytes();
 }
 
 }  // namespace quetzalvale
--- a/src/core/ticket_ledger.h
+++ b/src/core/ticket_ledger.h
@@ -60,12 +60,19 @@
   /// Drops blocks and answers that are too old.
   void Expire(Time now);
 
-  /// Snapshot for a successor. Every part is complete but for the answers, which are spread over
-  /// the parts, so that a successor which gets only some of them says nothing false.
+  /// Snapshot for a successor, in parts of the size of an ordinary message.
   std::vector<HandOver> Export() const;
 
-  /// Adds a part of the owner's snapshot and closes the ledger.
-  void Import(const HandOver& part, Time now);
+  /// Adds a part of the owner's snapshot and closes the ledger. The parts come in order, or again
+  /// from the first; a repeated one changes nothing. Returns false for one that comes too early.
+  bool Import(const HandOver& part, Time now);
+
+  /// Whether all parts of the owner's snapshot were imported. Until then every ticket that is not
+  /// known to be used counts as forgotten.
+  bool IsImported() const { return this->imported; }
+
+  /// Approximate memory of an imported ledger.
+  std::size_t ImportedBytes() const;
 
   const std::string& Service() const { return this->service; }
   const Incarnation& Owner() const { return this->owner; }
@@ -86,6 +93,7 @@
   Block* FindBlock(std::uint64_t sequence);
   void OpenBlock(std::uint64_t roster, Time now);
   TicketState LookClosed(std::uint64_t sequence) const;
+  std::vector<std::uint64_t> UsedSequences() const;
 
   std::string service;
   Incarnation owner;
@@ -96,6 +104,8 @@
   std::deque<Block> blocks;
   Answers answers;
   bool closed = false;
+  bool imported = false;
+  std::uint32_t next_part = 0;
   /// Of a closed ledger.
   std::set<std::uint64_t> closed_used;
 };
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -239,6 +239,8 @@
 void VisitFields(V& visit, HandOver& m) {
   visit("owner", m.owner);
   visit("service", m.service);
+  visit("part", m.part);
+  visit("parts", m.parts);
   visit("next_sequence", m.next_sequence);
   visit("floor", m.floor);
   visit("used", m.used);
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -437,6 +437,70 @@
   EXPECT_EQ(this->Answered(5)->fresh_tickets.size(), 1U);
 }
 
+// A successor that dies or refuses after some parts must not answer for the ledger, and the next
+// one needs all parts: otherwise used tickets pass for unused, or answers are lost.
+TEST_F(EntryCoreTest, AHandOverThatStopsHalfWayGoesWholeToAnotherSuccessor) {
+  TicketLedger ledger("s", kSelf);
+  ledger.SetLimits(ServiceConfiguration::Tickets());
+  const auto tickets = ledger.Issue(10001, 1, this->now);
+  for (std::size_t i = 0; i < 10000; ++i) {
+    ledger.Use(tickets[i], this->now);
+    Answer answer;
+    answer.status = AnswerStatus::kComplete;
+    answer.ticket = tickets[i];
+    answer.results = {std::to_string(i)};
+    ledger.KeepAnswer(tickets[i].sequence, 1, answer, this->now);
+  }
+  const auto parts = ledger.Export();
+  ASSERT_GT(parts.size(), 3U);
+  const auto hand_over = [&](EntryCore& to, const HandOver& part) {
+    this->actions = to.Handle(this->now, HandOverReceived{50, part});
+    return this->Find<ReplyAcknowledgement>()->reply.accepted;
+  };
+  EntryCore first({kPeer, "peer", "dc"}, {"s"}, {}, 1);
+  EntryCore second({{1, 3}, "other", "dc"}, {"s"}, {}, 1);
+  for (EntryCore* entry : {&first, &second}) {
+    entry->Handle(this->now, ConfigurationChanged{this->configuration});
+  }
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) EXPECT_TRUE(hand_over(first, parts[i]));
+  // The last part does not arrive. Neither a used nor an unused ticket is answered from the rest.
+  this->actions = first.Handle(this->now, JobSubmitted{4, this->Job(tickets.back())});
+  EXPECT_EQ(this->Answered(4), nullptr);
+  EXPECT_FALSE(hand_over(second, parts.back()));
+  for (const HandOver& part : parts) EXPECT_TRUE(hand_over(second, part));
+  for (std::size_t i = 0; i < 10000; i += 999) {
+    this->actions = second.Handle(this->now, JobSubmitted{100 + i, this->Job(tickets[i])});
+    ASSERT_NE(this->Answered(100 + i), nullptr);
+    EXPECT_EQ(this->Answered(100 + i)->results.front(), std::to_string(i));
+  }
+  this->actions = second.Handle(this->now, JobSubmitted{5, this->Job(tickets.back())});
+  EXPECT_TRUE(this->Answered(5)->not_run);
+  // The unfinished rest is dropped: a late part does not revive it.
+  this->now += seconds(20);
+  first.Handle(this->now, Tick{});
+  EXPECT_FALSE(hand_over(first, parts.back()));
+}
+
+// Adopted ledgers must not take all memory of an entry when many others leave.
+TEST_F(EntryCoreTest, RefusesLedgersBeyondItsMemory) {
+  HandOver part;
+  part.service = "s";
+  part.next_sequence = 2;
+  part.used = {1};
+  HandOver::RetainedAnswer kept;
+  kept.sequence = 1;
+  kept.answer.status = AnswerStatus::kComplete;
+  kept.answer.results = {std::string(std::size_t{16} << 20, 'x')};
+  part.answers = {kept};
+  int accepted = 0;
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    part.owner = {9, i + 1};
+    this->Send(HandOverReceived{50, part});
+    accepted += this->Find<ReplyAcknowledgement>()->reply.accepted ? 1 : 0;
+  }
+  EXPECT_EQ(accepted, 8);
+}
+
 TEST_F(EntryCoreTest, DepartsWithoutASuccessor) {
   this->Send(LeaveRequested{});
   for (int i = 0; i < 80 && this->Find<Departed>() == nullptr; ++i) this->Wait(Milliseconds(100));
--- a/tests/core/ticket_ledger_test.cc
+++ b/tests/core/ticket_ledger_test.cc
@@ -91,8 +91,9 @@
   EXPECT_NE(ledger.FindAnswer(2), nullptr);
 }
 
-// A successor that took a used ticket for an unused one would say "not run" of a job that ran.
-TEST(TicketLedgerTest, HandsOverWhatWasUsedInEveryPart) {
+// A successor that took a used ticket for an unused one would say "not run" of a job that ran; one
+// that has only some parts must not say it of any.
+TEST(TicketLedgerTest, SaysUnusedOnlyWhenAllPartsAreThere) {
   TicketLedger ledger = MakeLedger();
   ServiceConfiguration::Tickets limits;
   ledger.SetLimits(limits);
@@ -103,15 +104,18 @@
   }
   const auto parts = ledger.Export();
   ASSERT_GE(parts.size(), 2U);
-  for (const HandOver& part : parts) {
-    TicketLedger one("s", kOwner);
-    one.Import(part, kStart);
-    EXPECT_EQ(one.Look(tickets[0], kStart), TicketState::kUsed);
-    EXPECT_EQ(one.Look(tickets[1], kStart), TicketState::kUnused);
-  }
   TicketLedger all("s", kOwner);
+  EXPECT_FALSE(all.Import(parts.back(), kStart));
   for (const HandOver& part : parts) {
-    all.Import(part, kStart);
+    EXPECT_FALSE(all.IsImported());
+    EXPECT_NE(all.Look(tickets[0], kStart), TicketState::kUnused);
+    EXPECT_NE(all.Look(tickets[1], kStart), TicketState::kUnused);
+    EXPECT_TRUE(all.Import(part, kStart));
+    EXPECT_TRUE(all.Import(part, kStart));
+  }
+  EXPECT_TRUE(all.IsImported());
+  for (std::size_t i = 0; i < tickets.size(); ++i) {
+    EXPECT_EQ(all.Look(tickets[i], kStart), i % 2 == 0 ? TicketState::kUsed : TicketState::kUnused);
   }
   EXPECT_EQ(all.FindAnswer(tickets[598].sequence)->answer.results.front(), "598");
   EXPECT_FALSE(all.Use(tickets[1], kStart));
@@ -119,6 +123,36 @@
   EXPECT_EQ(all.Look({"s", kOwner, 601, 1}, kStart), TicketState::kNeverIssued);
 }
 
+// A ledger at full size would make messages beyond what a peer accepts, or as many copies of its
+// used sequences as there are parts.
+TEST(TicketLedgerTest, PartsOfAFullLedgerAreSmall) {
+  TicketLedger ledger = MakeLedger();
+  ledger.SetLimits(ServiceConfiguration::Tickets());
+  const auto tickets = ledger.Issue(300000, 1, kStart);
+  for (std::size_t i = 0; i < tickets.size(); ++i) {
+    ledger.Use(tickets[i], kStart);
+    if (i + 10000 >= tickets.size()) {
+      ledger.KeepAnswer(tickets[i].sequence, i, Complete(std::string(1000, 'x')), kStart);
+    }
+  }
+  std::size_t used = 0;
+  std::size_t answers = 0;
+  TicketLedger all("s", kOwner);
+  all.SetLimits(ServiceConfiguration::Tickets());
+  for (const HandOver& part : ledger.Export()) {
+    used += part.used.size();
+    answers += part.answers.size();
+    EXPECT_LE(part.used.size(), 16384U);
+    EXPECT_LE(part.answers.size(), 256U);
+    EXPECT_TRUE(all.Import(part, kStart));
+  }
+  EXPECT_EQ(used, 300000U);
+  EXPECT_EQ(answers, 10000U);
+  EXPECT_TRUE(all.IsImported());
+  EXPECT_NE(all.FindAnswer(tickets.back().sequence), nullptr);
+  EXPECT_LT(all.ImportedBytes(), std::size_t{64} << 20);
+}
+
 // Holds the ledger against a plain map over random issues, uses, refusals and waits.
 TEST(TicketLedgerTest, AgreesWithAMapOfTickets) {
   const auto check = [](std::vector<std::pair<std::uint8_t, std::uint8_t>> steps) {
