--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -14,6 +14,8 @@
 find_package(Python3 3.10 REQUIRED COMPONENTS Interpreter)
 add_test(NAME operator COMMAND ${Python3_EXECUTABLE} -B tests/operator/quetzalvale_test.py
          WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+add_test(NAME docs COMMAND ${Python3_EXECUTABLE} -B tests/docs/events_test.py
+         WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 
 # The operators' command line.
 quetzalvale_library(client quetzalvale_core cpprest ssl crypto)
@@ -48,7 +50,7 @@
 add_executable(quetzalvale-agent src/agent/main.cc)
 target_link_libraries(quetzalvale-agent PRIVATE quetzalvale_agent docopt)
 
-add_library(quetzalvale_standin_endpoint STATIC src/standin/endpoint_journal.cc
+add_library(quetzalvale_standin_endpoint STATIC src/standin/endpoint_control.cc src/standin/endpoint_journal.cc
             src/standin/endpoint_server.cc src/standin/endpoint_worker.cc)
 target_link_libraries(quetzalvale_standin_endpoint PUBLIC quetzalvale_http quetzalvale_protocol)
 add_executable(standin-endpoint src/standin/endpoint_main.cc)
--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -16,6 +16,15 @@
   return condition
 end
 
+-- Fails the scenario as a violation of the numbered guarantee (docs/design.md, section 1) unless the
+-- condition holds. A run without a guard must fail here and nowhere else.
+function guarantee(number, condition, text, ...)
+  if not condition then
+    error(string.format("guarantee %d is violated: " .. text, number, ...), 2)
+  end
+  return condition
+end
+
 -- Waits until the condition returns a true value, and returns it.
 function await(what, condition, seconds)
   local give_up = host.now_ms() + (seconds or AWAIT_SECONDS) * 1000
@@ -63,6 +72,12 @@
 -- Links; need relays in front of the processes.
 function cut(from, to) host.cut(from, to) end
 function restore(from, to) host.restore(from, to) end
+-- Delays the next message from one process to another until it is released; others pass.
+function hold(from, to) host.hold(from, to) end
+function release(from, to) host.release(from, to) end
+function await_held(from, to)
+  await("a message from " .. from .. " to " .. to .. " is held", function() return host.is_holding(from, to) end)
+end
 function cut_both(a, b) cut(a, b) cut(b, a) end
 function restore_both(a, b) restore(a, b) restore(b, a) end
 
@@ -166,7 +181,8 @@
   worker.settings.endpoint = "http://" .. worker.endpoint_address
   worker.settings.worker = {slots = self.slots, connections = self.connections,
                             cores = self.document.worker_limits.cores,
-                            memory_mb = self.document.worker_limits.memory_mb, accelerators = 0}
+                            memory_mb = self.document.worker_limits.memory_mb,
+                            accelerators = self.document.worker_limits.accelerators}
   self.workers[position] = worker
 end
 
@@ -337,7 +353,8 @@
 end
 
 -- Sends a job without waiting and records its call. Options: entry, ticket, key (instead of a ticket),
--- tasks (their number), run_ms (a number or a list to take turns in), kind, team, deadline_ms. The echo of each task is unique, so an answer
+-- tasks (their number), run_ms (a number or a list to take turns in), kind, team, deadline_ms, and what
+-- each task declares: declared_ms, cores, memory_mb, accelerators; uses (what it uses instead). The echo of each task is unique, so an answer
 -- that belongs to another job or task is seen.
 function Cluster:submit(options)
   local job = {cluster = self, entry = options.entry or self.entries[1], ticket = options.ticket,
@@ -349,8 +366,10 @@
     job.echoes[index] = "echo-" .. self.next_echo
     local run_ms = options.run_ms or 50
     if type(run_ms) == "table" then run_ms = run_ms[(index - 1) % #run_ms + 1] end
-    tasks[index] = {payload = {run_ms = run_ms, echo = job.echoes[index], fail = options.fail},
-                    declared_ms = options.declared_ms}
+    tasks[index] = {payload = {run_ms = run_ms, echo = job.echoes[index], fail = options.fail,
+                               uses = options.uses},
+                    declared_ms = options.declared_ms, cores = options.cores,
+                    memory_mb = options.memory_mb, accelerators = options.accelerators}
   end
   job.body = {ticket = job.ticket, key = options.key, team = options.team or self.team, kind = options.kind or self.kind,
               deadline_ms = options.deadline_ms or 30000, tasks = tasks}
@@ -444,6 +463,16 @@
   return starts
 end
 
+-- What each endpoint's tasks declared together at most, by endpoint: {slots, cores, memory_mb,
+-- accelerators}, summed by the stand-in from the requests that it got.
+function Cluster:peaks()
+  local peaks = {}
+  for _, worker in ipairs(self.workers) do
+    peaks[worker.endpoint] = call_ok(worker.endpoint_address, "GET", "/journal").peak_declared
+  end
+  return peaks
+end
+
 -- Number of starts by task.
 function Cluster:starts_by_task()
   local counts = {}
@@ -478,7 +507,7 @@
   local starts = self:starts_by_task()
   local by_ticket = {}
   for task, count in pairs(starts) do
-    expect(count == 1, "task %s starts once, not %d times", task, count)
+    guarantee(1, count == 1, "task %s starts once, not %d times", task, count)
     local ticket = task:match("^(.*)/%d+$")
     by_ticket[ticket] = (by_ticket[ticket] or 0) + 1
   end
@@ -504,20 +533,20 @@
 
 function Cluster:check_answer(job, answer, starts)
   if answer.status == "complete" then
-    expect(#answer.outcomes == #job.echoes, "the answer of %s has %d outcomes, not %d", name_of(job),
+    guarantee(2, #answer.outcomes == #job.echoes, "the answer of %s has %d outcomes, not %d", name_of(job),
            #job.echoes, #answer.outcomes)
     for index, echo in ipairs(job.echoes) do
       local result = answer.outcomes[index].result
-      expect(result == echo, "outcome %d of %s is %s, not %s", index, name_of(job), echo,
+      guarantee(3, result == echo, "outcome %d of %s is %s, not %s", index, name_of(job), echo,
              host.json_text(result))
     end
-    expect(starts == #job.echoes, "all %d tasks of the complete job %s ran, not %d", #job.echoes,
+    guarantee(2, starts == #job.echoes, "all %d tasks of the complete job %s ran, not %d", #job.echoes,
            name_of(job), starts)
   else
-    expect(answer.outcomes == nil, "the %s answer of %s carries no outcomes", answer.status, name_of(job))
+    guarantee(2, answer.outcomes == nil, "the %s answer of %s carries no outcomes", answer.status, name_of(job))
   end
   if answer.not_run then
-    expect(starts == 0, "the job %s, answered \"not run\", started no task, not %d", name_of(job), starts)
+    guarantee(4, starts == 0, "the job %s, answered \"not run\", started no task, not %d", name_of(job), starts)
   end
 end
 
@@ -607,6 +636,12 @@
   return call_ok(entry.address, "GET", "/admin/v1/services/" .. self.service .. "/audit", nil, AUTHORIZED).changes
 end
 
+-- A value of GET /metrics, or 0.
+function metric(address, name)
+  local reply = host.call{address = address, path = "/metrics", timeout_ms = 5000}
+  return tonumber(((reply.text or "") .. "\n"):match("\n" .. name .. " ([%d.]+)")) or 0
+end
+
 function Cluster:drain_agent(entry, worker)
   local reply = host.call{address = entry.address, method = "POST", headers = AUTHORIZED,
                           path = "/admin/v1/agents/" .. worker.name .. "/drain"}
--- a/src/core/entry_core_jobs.cc
+++ b/src/core/entry_core_jobs.cc
@@ -97,7 +97,7 @@
     agent->outstanding.erase(ref);
     agent->withdrawals.Remove(ref);
     if (task.state == JobTaskState::kBatched) {
-      --agent->unreported;
+      agent->unreported.Remove(DeclaredBy(task.spec), task.joins_queue);
     }
   }
   if (task.state == JobTaskState::kBatched) {
@@ -119,12 +119,14 @@
   Answer answer;
   answer.ticket = job.ticket;
   if (!job.failure) {
-    if (job.done < job.tasks.size()) {
+    if (!this->guards.all_outcomes(job.done, job.tasks.size())) {
       return;
     }
     answer.status = AnswerStatus::kComplete;
     for (Task& task : job.tasks) {
-      answer.results.push_back(std::move(task.result));
+      if (task.state == JobTaskState::kDone) {
+        answer.results.push_back(std::move(task.result));
+      }
     }
     this->AnswerJob(job, std::move(answer));
     return;
