--- a/cmake/scenarios.cmake
+++ b/cmake/scenarios.cmake
@@ -31,4 +31,13 @@
              ${CMAKE_SOURCE_DIR}/scenarios/${scenario}.lua WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
     set_tests_properties(${test_name} PROPERTIES LABELS scenario TIMEOUT 300 PROCESSORS 3)
   endforeach()
+
+  # A run without a guard must not count as expected when the script succeeds, or when it fails by the
+  # check of another guarantee.
+  add_test(NAME unguarded_script_succeeds COMMAND quetzalvale-scenario --without=agent.is_sealed --violates=5
+           ${CMAKE_SOURCE_DIR}/scenarios/key_once.lua WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  add_test(NAME unguarded_other_guarantee COMMAND quetzalvale-scenario --without=entry.key_version --violates=1
+           ${CMAKE_SOURCE_DIR}/scenarios/key_once.lua WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  set_tests_properties(unguarded_script_succeeds unguarded_other_guarantee PROPERTIES LABELS scenario
+                       TIMEOUT 300 PROCESSORS 3 WILL_FAIL TRUE)
 endif()
--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
+#include <thread>
 
 #include "scenario/child_process.h"
 #include "scenario/lua_script.h"
@@ -113,6 +114,36 @@
   close(listener);
 }
 
+/// Guards against a hold that also delays later messages, so that a delayed start could not be
+/// overtaken by its withdrawal.
+TEST(RelayHubTest, HoldsOneMessageWhileOthersPass) {
+  PortBlock ports;
+  const std::uint16_t server_port = ports.Next();
+  const std::uint16_t relay_port = ports.Next();
+  const int listener = Listen(server_port);
+  LinkTable links;
+  RelayHub hub(links, [](std::uint16_t, std::uint16_t) { return "client"; });
+  hub.Add(relay_port, server_port, "server");
+  links.Hold("client", "server");
+  const int first = Connect(relay_port);
+  const int first_server = accept(listener, nullptr, nullptr);
+  EXPECT_EQ(send(first, "a", 1, 0), 1);
+  while (!links.IsHolding("client", "server")) {
+    std::this_thread::yield();
+  }
+  const int second = Connect(relay_port);
+  const int second_server = accept(listener, nullptr, nullptr);
+  EXPECT_EQ(send(second, "b", 1, 0), 1);
+  EXPECT_EQ(ReadByte(second_server), 'b');
+  char byte = 0;
+  EXPECT_EQ(recv(first_server, &byte, 1, MSG_DONTWAIT), -1);
+  links.Release("client", "server");
+  EXPECT_EQ(ReadByte(first_server), 'a');
+  for (const int descriptor : {first, first_server, second, second_server, listener}) {
+    close(descriptor);
+  }
+}
+
 /// Guards against cuts that hit the wrong link because the connecting process is not recognised.
 TEST(SocketOwnerTest, FindsTheProcessThatConnected) {
   PortBlock ports;
