--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -17,6 +17,7 @@
 #include "core/answer_outbox.h"
 #include "core/answer_store.h"
 #include "core/entry_events.h"
+#include "core/entry_guards.h"
 #include "core/entry_status.h"
 #include "core/forward_table.h"
 #include "core/job_table.h"
@@ -34,7 +35,7 @@
  public:
   /// `seed_addresses` are the inner addresses of other entries known from the settings.
   EntryCore(EntryInfo self, std::vector<std::string> services,
-            std::vector<std::string> seed_addresses, std::uint64_t seed);
+            std::vector<std::string> seed_addresses, std::uint64_t seed, EntryGuards guards = {});
 
   std::vector<EntryAction> Handle(Time event_time, const EntryEvent& event);
 
@@ -75,13 +76,39 @@
     Agent* agent = nullptr;
     Candidate candidate;
     bool probe = false;
+    /// The report is too old to be believed where it says "full".
+    bool stale = false;
+    /// The old report says that neither a slot nor the queue is free.
+    bool finds_out = false;
+    Resources free;
+  };
+
+  /// Agents that may take one task, as positions in the list of usable agents.
+  struct Choices {
+    std::vector<std::size_t> positions;
+    std::vector<Candidate> candidates;
+    /// Positions of candidates with a free slot that lack cores, memory or accelerators now.
+    std::vector<std::size_t> short_of_resources;
+    /// The probe of an ejected endpoint that the task may be.
+    std::optional<std::size_t> probe;
+    bool any_free = false;
+  };
+
+  /// Tasks of one job that declare the same are blocked alike in one round of placement.
+  struct BlockedShape {
+    std::uint64_t job = 0;
+    Resources declared;
+
+    bool operator==(const BlockedShape&) const = default;
   };
 
   enum class Placed {
     kYes,
     /// The policy leaves the task waiting.
     kDeclined,
-    /// No free agent may take the task now.
+    /// No agent may take the task now.
+    kNoRoom,
+    /// The retry budget is used up.
     kBlocked
   };
 
@@ -169,6 +196,14 @@
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
   bool HasRoom(const ServiceState& service, const Agent& agent) const;
+  /// Whether the agent's load is so old that a report that says "full" is not believed any more.
+  bool IsStale(const ServiceState& service, const Agent& agent) const;
+  Choices ChoicesFor(const ServiceState& service, const Job& job, const Task& task,
+                     std::span<const Usable> usable) const;
+  /// Picks the agent by the placement policy; or, when only cores, memory or accelerators are
+  /// missing, the agent whose queue is expected to move soonest.
+  std::optional<std::size_t> Choose(ServiceState& service, const Job& job, const Task& task,
+                                    const Choices& choices, std::uint32_t waiting_ahead);
   Placed Place(ServiceState& service, Job& job, std::uint32_t index, std::vector<Usable>& usable,
                std::uint32_t waiting_ahead);
   bool MayRetry(ServiceState& service, const Task& task);
@@ -181,6 +216,8 @@
   void SettleStart(const StartReply& reply, const Incarnation& agent, std::uint64_t sequence,
                    const std::vector<TaskRef>& tasks);
   void OnRefusal(const TaskRef& task, const Incarnation& agent, StartRefusal refusal);
+  /// Whether a start of the task would find everything that it declares free.
+  bool HasRoomFor(const TaskRef& task, const Agent& agent);
   void ProvenNotRun(const TaskRef& task);
   void Withdraw(const TaskRef& task, bool stop_running);
   void ApplyOutcome(const Incarnation& agent, const Outcome& outcome);
@@ -206,6 +243,9 @@
   void SendHellos();
   void TellRoster();
   void ReadHello(const Hello& hello);
+  /// Whether the peer takes no jobs any more.
+  bool HasDeparted(const Peer& peer) const;
+  void SweepQuotas();
   void SubmitForeign(ServiceState& service, const Waiter& waiter, const Submission& submission);
   bool AnswerForeign(const Waiter& waiter, const Ticket& ticket, std::uint64_t body_hash);
   void SweepForwards();
@@ -223,6 +263,7 @@
   bool IsLeaving() const { return this->departure.stage != Departure::Stage::kNone; }
 
   EntryInfo self;
+  EntryGuards guards;
   Random random;
   Time now{};
   bool started = false;
--- a/src/core/peer_table.cc
+++ b/src/core/peer_table.cc
@@ -231,6 +231,12 @@
   }
 }
 
+std::size_t PeerTable::UnheardSeeds() const {
+  return static_cast<std::size_t>(std::ranges::count_if(this->targets, [this](const auto& element) {
+    return element.second.seed && this->FindByAddress(element.first) == nullptr;
+  }));
+}
+
 bool PeerTable::AllTold(Time::duration within, Time now) const {
   return std::ranges::all_of(this->targets, [&](const auto& element) {
     const Peer* peer = this->FindByAddress(element.first);
@@ -298,17 +304,17 @@
   return view;
 }
 
-std::uint64_t PeerTable::HighestVersion(const std::string& service, Time::duration within,
-                                        Time now) const {
-  std::uint64_t highest = 0;
+std::map<Incarnation, std::uint64_t> PeerTable::Versions(const std::string& service,
+                                                         Time::duration within, Time now) const {
+  std::map<Incarnation, std::uint64_t> versions;
   for (const auto& [incarnation, peer] : this->peers) {
     const auto found = peer.configuration_versions.find(service);
     if (found != peer.configuration_versions.end() && !peer.gone &&
         now - peer.last_heard < within) {
-      highest = std::max(highest, found->second);
+      versions[incarnation] = found->second;
     }
   }
-  return highest;
+  return versions;
 }
 
 }  // namespace quetzalvale
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -75,6 +75,9 @@
   /// Whether the hello to this address must carry the roster with this number.
   bool NeedsRoster(const std::string& address, std::uint64_t number, Time now) const;
 
+  /// Number of addresses from the settings at which no entry was ever heard.
+  std::size_t UnheardSeeds() const;
+
   /// Whether no hello is under way and every live peer has had one since HelloSoon.
   bool AllTold(Time::duration within, Time now) const;
 
@@ -96,8 +99,9 @@
   /// What is known of the agents that the owner can have used for the ticket.
   RosterView RosterFor(const Ticket& ticket) const;
 
-  /// Highest configuration version of the service that a live peer reports.
-  std::uint64_t HighestVersion(const std::string& service, Time::duration within, Time now) const;
+  /// Configuration version of the service that each live peer serving it reported last.
+  std::map<Incarnation, std::uint64_t> Versions(const std::string& service, Time::duration within,
+                                                Time now) const;
 
  private:
   struct Target {
--- a/tests/protocol/codec_test.cc
+++ b/tests/protocol/codec_test.cc
@@ -43,6 +43,18 @@
   EXPECT_EQ(decoded.configuration_versions, hello.configuration_versions);
 }
 
+// An entry that reads no free accelerators sends the agent none of the tasks that need them.
+TEST(CodecTest, LoadKeepsItsFreeResources) {
+  StartReply reply;
+  reply.load.free_cores = 1.5;
+  reply.load.free_memory_mb = 1LL << 40;
+  reply.load.free_accelerators = 3;
+  const auto decoded = Decode<StartReply>(Encode(reply));
+  EXPECT_EQ(decoded.load.free_cores, 1.5);
+  EXPECT_EQ(decoded.load.free_memory_mb, 1LL << 40);
+  EXPECT_EQ(decoded.load.free_accelerators, 3);
+}
+
 // A field of the wrong type from a faulty peer must be refused by name, not read as zero.
 TEST(CodecTest, WrongFieldIsNamed) {
   Json::Value json = Encode(SampleStart());
@@ -55,6 +67,23 @@
   }
 }
 
+// The JSON writer replaces such bytes, so the ticket would reach the next process as another one.
+TEST(CodecTest, TextThatIsNotUtf8IsRefused) {
+  SealRequest seal;
+  seal.ticket = {"shop\xff", {1, 2}, 3, 4};
+  EXPECT_THROW(Decode<SealRequest>(Encode(seal)), std::invalid_argument);
+  Hello hello;
+  hello.configuration_versions["shop\xff"] = 1;
+  EXPECT_THROW(Decode<Hello>(Encode(hello)), std::invalid_argument);
+}
+
+// A time left of this length overflowed when it was added to the present time.
+TEST(CodecTest, DurationBeyondAnyUseIsRefused) {
+  Json::Value json = Encode(SampleStart());
+  json["items"][0]["time_left_ms"] = Json::Int64{INT64_MAX};
+  EXPECT_THROW(Decode<StartRequest>(json), std::invalid_argument);
+}
+
 TEST(CodecTest, EnumOutOfRangeIsRefused) {
   StartReply reply;
   reply.decisions = {StartRefusal::kBusy};
