Print rabaryog's lease of 6 s from the operators' script

Cause: the lease was changed in settings/rabaryog.json alone, so the test "operator" failed: operator/rabaryog.py must print that file.

Change: the script sets lease_ms. The test is unchanged and passes again.

--- a/operator/rabaryog.py
+++ b/operator/rabaryog.py
@@ -13,4 +13,5 @@
     teams=[quetzalvale.Team("orders")],
     worker_limits=quetzalvale.WorkerLimits(cores=16, memory_mb=65536),
     batching=quetzalvale.Batching(start_delay_us=2000, outcome_delay_ms=10),
+    lease_ms=6000,
 ).print_document()
