--- a/tests/protocol/fuzz_test.cc
+++ b/tests/protocol/fuzz_test.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <stdexcept>
 
-#include "client/http_call.h"
+#include "http/http_call.h"
 #include "protocol/rpc_client.h"
 #include "protocol/rpc_server.h"
 #include "tests/protocol/sample_messages.h"
--- a/tests/protocol/rpc_test.cc
+++ b/tests/protocol/rpc_test.cc
@@ -3,7 +3,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "client/http_call.h"
+#include "http/http_call.h"
 #include "protocol/rpc_client.h"
 #include "protocol/rpc_server.h"
 #include "tests/support/loopback_address.h"
