--- a/src/core/agent_core.cc
+++ b/src/core/agent_core.cc
@@ -29,7 +29,8 @@
         return !this->store.HasUnfinished(owner) && !this->outcomes.HasPending(owner);
       }),
       resources(this->identity.worker),
-      announcer(seed_entry_addresses) {}
+      announcer(seed_entry_addresses,
+                [this](const std::string& address) { return this->HoldsTasksOf(address); }) {}
 
 std::vector<AgentAction> AgentCore::Handle(Time time, const AgentEvent& event) {
   this->now = time;
--- a/src/core/agent_core_endpoint.cc
+++ b/src/core/agent_core_endpoint.cc
@@ -118,9 +118,12 @@
 
 void AgentCore::On(const EndpointChecked& event) {
   const bool was_up = this->endpoint.IsUp();
+  const bool was_found_down = this->endpoint.IsFoundDown();
   const bool tell = this->endpoint.Checked(event.up, this->now);
   if (tell) {
     this->LogLine(2010, "endpoint_up", "");
+  }
+  if (tell || (!event.up && !was_found_down)) {
     this->announcer.AnnounceNowToAll();
   }
   if (event.up) {
--- a/src/core/agent_events.h
+++ b/src/core/agent_events.h
@@ -58,7 +58,12 @@
   std::vector<TaskKey> tasks;
   Result<OutcomesReply> reply;
 };
-/// Result of SendAnnounce.
+/// An entry tells something before the next heartbeat. Answered by ReplyNotice with the same id.
+struct NoticeReceived {
+  RequestId request = 0;
+  AnnounceReply message;
+};
+/// Result of SendAnnounce or SendHeartbeat.
 struct AnnounceReplied {
   std::string address;
   Result<AnnounceReply> reply;
@@ -68,9 +73,10 @@
   std::shared_ptr<const ServiceConfiguration> configuration;
 };
 
-using AgentEvent = std::variant<StartReceived, WithdrawReceived, SealReceived, EndpointFinished,
-                                EndpointRefused, EndpointChecked, UsageReported, OutcomesReplied,
-                                AnnounceReplied, AgentConfigurationChanged, LeaveRequested, Tick>;
+using AgentEvent =
+    std::variant<StartReceived, WithdrawReceived, SealReceived, EndpointFinished, EndpointRefused,
+                 EndpointChecked, UsageReported, OutcomesReplied, AnnounceReplied, NoticeReceived,
+                 AgentConfigurationChanged, LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
@@ -115,6 +121,14 @@
   std::string address;
   Announce message;
 };
+struct SendHeartbeat {
+  std::string address;
+  Heartbeat message;
+};
+struct ReplyNotice {
+  RequestId request = 0;
+  Heartbeat reply;
+};
 /// An entry has a newer configuration than this agent.
 struct FetchConfiguration {
   std::string address;
@@ -123,7 +137,7 @@
 
 using AgentAction =
     std::variant<ReplyStart, ReplyWithdraw, ReplySeal, StartOnEndpoint, StopOnEndpoint, RenewLeases,
-                 CheckEndpoint, PollUsage, SendOutcomes, SendAnnounce, FetchConfiguration, LogEvent,
-                 Departed>;
+                 CheckEndpoint, PollUsage, SendOutcomes, SendAnnounce, SendHeartbeat, ReplyNotice,
+                 FetchConfiguration, LogEvent, Departed>;
 
 }  // namespace quetzalvale
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -61,6 +61,7 @@
 void EntryCore::Sweep() {
   this->SweepAgents();
   this->SendHellos();
+  this->SendNotices();
   this->SweepForwards();
   this->SweepSalvages();
   this->SendAnswers();
@@ -99,6 +100,12 @@
 
 void EntryCore::On(const Tick& /*event*/) {}
 
+void EntryCore::On(const EntriesRead& event) {
+  for (const EntryInfo& entry : event.entries) {
+    this->peers.AddTarget(entry.address, false, this->now);
+  }
+}
+
 void EntryCore::On(const ConfigurationChanged& event) {
   ServiceState* service =
       event.configuration ? this->FindService(event.configuration->service) : nullptr;
@@ -153,11 +160,10 @@
       if (agent.announce.service != name) {
         continue;
       }
-      entry.agents.push_back(
-          {agent.announce.name, incarnation, agent.announce.address, agent.outstanding.size(),
-           agent.leaving, !service.health.IsAvailable(agent.announce.name),
-           status_time - agent.last_heard >= service.configuration->health.agent_lost, agent.member,
-           agent.announce.load.configuration_version});
+      entry.agents.push_back({agent.announce.name, incarnation, agent.announce.address,
+                              agent.outstanding.size(), agent.leaving,
+                              !service.health.IsAvailable(agent.announce.name), this->IsLost(agent),
+                              agent.member, agent.announce.load.configuration_version});
     }
     status.services.push_back(std::move(entry));
   }
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -44,10 +44,10 @@
   if (agent.FreeSlots() > 0 || agent.Queued() < queue) {
     return true;
   }
-  return this->IsStale(service, agent);
+  return this->IsReportOld(service, agent);
 }
 
-bool EntryCore::IsStale(const ServiceState& service, const Agent& agent) const {
+bool EntryCore::IsReportOld(const ServiceState& service, const Agent& agent) const {
   const auto& configuration = *service.configuration;
   const Milliseconds believed = configuration.objective == Objective::kMessages
                                     ? configuration.health.heartbeat
@@ -60,13 +60,18 @@
       !this->HasRoom(service, agent)) {
     return false;
   }
+  // A start to an agent that may be gone finds out, at the risk of one task.
+  const bool quiet = this->IsQuiet(agent);
+  if (quiet && !agent.outstanding.empty()) {
+    return false;
+  }
   const std::string& name = agent.announce.name;
   usable.probe = !service.health.IsAvailable(name);
   if (usable.probe && (!agent.outstanding.empty() || !service.health.MayProbe(name, this->now))) {
     return false;
   }
   usable.agent = &agent;
-  usable.stale = this->IsStale(service, agent);
+  usable.stale = this->IsReportOld(service, agent);
   usable.free = agent.Free();
   Candidate& candidate = usable.candidate;
   candidate.agent = agent.announce.agent;
@@ -75,18 +80,30 @@
   candidate.own_outstanding = static_cast<int>(agent.outstanding.size());
   candidate.free_slots = agent.FreeSlots();
   candidate.queued = agent.Queued();
-  const int queue = static_cast<int>(service.configuration->agent_queue);
-  if (candidate.free_slots == 0 && candidate.queued >= queue) {
-    // The report is old, so one task finds out.
+  if (candidate.free_slots == 0 && usable.stale) {
+    // One task finds out; the next report of an idle agent may be many seconds away.
     usable.finds_out = true;
     candidate.free_slots = 1;
     candidate.queued = 0;
   }
+  if (quiet) {
+    candidate.free_slots = std::min(candidate.free_slots, 1);
+  }
   candidate.speed = service.model.Speed(name);
   candidate.same_data_centre = agent.announce.data_centre == this->self.data_centre;
   return true;
 }
 
+bool EntryCore::IsTryingQuietAgent(const ServiceState& service) const {
+  const Milliseconds patience = service.configuration->health.heartbeat / kStalePart;
+  return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
+    const Agent& agent = element.second;
+    return agent.announce.service == service.name && agent.member && !agent.leaving &&
+           !agent.outstanding.empty() && this->IsQuiet(agent) &&
+           this->now - agent.active_since < patience;
+  });
+}
+
 std::vector<EntryCore::Usable> EntryCore::UsableAgents(ServiceState& service) {
   std::vector<Usable> usable;
   for (auto& [incarnation, agent] : this->directory.Agents()) {
@@ -221,6 +238,10 @@
   if (!chosen) {
     return choices.any_free ? Placed::kDeclined : Placed::kNoRoom;
   }
+  if (usable[*chosen].candidate.free_slots <= 0 && !usable[*chosen].probe &&
+      this->IsTryingQuietAgent(service)) {
+    return Placed::kDeclined;
+  }
   if (!this->MayRetry(service, task)) {
     return Placed::kBlocked;
   }
@@ -265,6 +286,9 @@
   task.agent = agent.announce.agent;
   task.channel_sequence = 0;
   task.runs = false;
+  if (agent.outstanding.empty()) {
+    agent.active_since = this->now;
+  }
   agent.outstanding[ref] = task.expected;
   const Resources declared = DeclaredBy(task.spec);
   task.joins_queue = agent.FreeSlots() > 0 && !agent.Free().Covers(declared);
--- a/src/core/quota_table.cc
+++ b/src/core/quota_table.cc
@@ -18,17 +18,17 @@
 /// earlier may overtake it by as much.
 constexpr std::chrono::seconds kExchangeTime{4};
 
-/// A peer that has not answered for this long counts as cut off. Longer than several exchanges, at
-/// the pace of one in a few seconds.
-constexpr std::chrono::seconds kSilentAfter{10};
+/// A peer that has not answered for two rounds of hellos, and at least this long, counts as cut
+/// off.
+constexpr std::chrono::seconds kLeastSilence{10};
+constexpr int kSilentRounds = 2;
 
 /// How long a silent peer keeps its part. Partitions last for minutes; a peer that died and whose
 /// address nobody took over is not told from one beyond a partition.
 constexpr std::chrono::minutes kSilentKept{10};
 
-/// Lows of demand are kept in steps of this length, and no longer than the silent time needs.
+/// Lows of demand are kept in steps of this length.
 constexpr Milliseconds kLowStep{250};
-constexpr std::chrono::seconds kLowsKept = kSilentAfter + kExchangeTime;
 
 double Seconds(Time from, Time to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
@@ -43,6 +43,11 @@
   this->teams[std::string(team)].quota = tasks_per_second;
 }
 
+void QuotaTable::SetRound(Time::duration round) {
+  this->silent_after =
+      std::max<Time::duration>(kLeastSilence, round * kSilentRounds + kExchangeTime);
+}
+
 void QuotaTable::AddPeer(const Incarnation& peer, Time now) { this->peers.try_emplace(peer, now); }
 
 void QuotaTable::SetPeerDemand(const Incarnation& peer, std::string_view team,
@@ -80,7 +85,7 @@
   std::vector<Incarnation> silent;
   std::size_t heard = 1;
   for (const auto& [peer, confirmed] : this->peers) {
-    heard += now - confirmed < kSilentAfter ? 1 : 0;
+    heard += now - confirmed < this->silent_after ? 1 : 0;
     if (now - confirmed >= kSilentKept) {
       silent.push_back(peer);
     }
@@ -100,7 +105,7 @@
 bool QuotaTable::TryTake(std::string_view team_name, std::uint32_t tasks, Time now) {
   Team& team = this->teams[std::string(team_name)];
   const double before = DemandAt(team, now);
-  NoteLow(team, before, now);
+  this->NoteLow(team, before, now);
   team.demand = before + tasks / kDemandSeconds;
   team.demand_updated = now;
   if (team.quota <= 0) {
@@ -136,7 +141,7 @@
   return team.demand * std::exp(-Seconds(team.demand_updated, now) / kDemandSeconds);
 }
 
-void QuotaTable::NoteLow(Team& team, double demand, Time now) {
+void QuotaTable::NoteLow(Team& team, double demand, Time now) const {
   // A low that is not below a later one never is the lowest.
   while (!team.lows.empty() && team.lows.back().second >= demand) {
     team.lows.pop_back();
@@ -145,7 +150,7 @@
   if (team.lows.empty() || now - team.lows.back().first >= kLowStep) {
     team.lows.emplace_back(now, demand);
   }
-  while (team.lows.size() > 1 && now - team.lows[1].first > kLowsKept) {
+  while (team.lows.size() > 1 && now - team.lows[1].first > this->silent_after + kExchangeTime) {
     team.lows.pop_front();
   }
 }
@@ -164,7 +169,7 @@
 
 bool QuotaTable::IsSilent(Time now) const {
   return std::ranges::any_of(
-      this->peers, [&](const auto& element) { return now - element.second >= kSilentAfter; });
+      this->peers, [&](const auto& element) { return now - element.second >= this->silent_after; });
 }
 
 Time QuotaTable::ToldSince(Time now) const {
--- a/src/core/quota_table.h
+++ b/src/core/quota_table.h
@@ -1,6 +1,7 @@
 /// Quotas of teams, held across entries without the platform.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -25,6 +26,10 @@
   /// Sets the team's quota over all entries, in tasks per second; zero means none.
   void SetQuota(std::string_view team, double tasks_per_second);
 
+  /// Tells the time in which every peer gets a report. A peer counts as silent after two rounds, or
+  /// ten seconds if that is longer.
+  void SetRound(Time::duration round);
+
   /// Notes a peer, by incarnation. It counts from now on until it is forgotten.
   void AddPeer(const Incarnation& peer, Time now);
 
@@ -68,7 +73,7 @@
   };
 
   static double DemandAt(const Team& team, Time now);
-  static void NoteLow(Team& team, double demand, Time now);
+  void NoteLow(Team& team, double demand, Time now) const;
   /// Lowest demand at any time since `from`.
   static double LowestSince(const Team& team, Time from, Time now);
   std::size_t Unheard() const;
@@ -79,6 +84,8 @@
   double Share(const Team& team, Time now) const;
   void Refill(Team& team, Time now);
 
+  /// A peer without an answer for this long counts as cut off.
+  Time::duration silent_after = std::chrono::seconds(10);
   std::map<std::string, Team, std::less<>> teams;
   /// When each peer last answered a report, or was added.
   std::unordered_map<Incarnation, Time> peers;
--- a/tests/policy/quota_table_test.cc
+++ b/tests/policy/quota_table_test.cc
@@ -106,6 +106,30 @@
   EXPECT_NEAR(TakeFor(table, kStart + seconds(1030), 1000), 400, 25);
 }
 
+// With many entries a peer is asked once in many seconds. A fixed limit would take every peer for
+// cut off between two reports, and no entry could ever claim its demand.
+TEST(QuotaTableTest, WaitsForTwoRoundsOfReports) {
+  for (const bool many_entries : {false, true}) {
+    QuotaTable table;
+    table.SetQuota("desk", 100);
+    if (many_entries) table.SetRound(seconds(15));
+    table.AddPeer(kPeer, kStart);
+    int taken = 0;
+    for (int i = 0; i < 4500; ++i) {
+      const Time now = kStart + milliseconds(10 * i);
+      if (i % 1500 == 0) table.ConfirmPeer(kPeer, now);
+      const bool steady = i >= 3000;
+      taken += table.TryTake("desk", 1, now) && steady ? 1 : 0;
+    }
+    // The whole quota in the last 15 s, or two thirds of it and then an equal part.
+    if (many_entries) {
+      EXPECT_GT(taken, 1350);
+    } else {
+      EXPECT_LT(taken, 1350);
+    }
+  }
+}
+
 // Fails when a dead entry whose address nobody takes over keeps its part for ever, although most
 // entries are heard.
 TEST(QuotaTableTest, ForgetsASilentPeerWhenMostAreHeard) {
