Ask a quiet agent for a sign of life before it gets tasks, and poll usage only where it matters

Cause: since idle agents send heartbeats every 20 s, an agent that vanished while idle got one task from each entry; its start timed out and the task's job ended with an unknown outcome after agent_dead_ms. Found while reading the merged code. Ruled out: shorter idle heartbeats, which exceed the control budget at 640 agents. Change: tasks that wait make the entry send a quiet agent a notice at once, and the agent gets tasks when it has answered; a leaving entry asks too. Usage is polled only while tasks run that declare something. Tests: QuietAgentIsAskedBeforeItGetsTasks replaces QuietAgentGetsOneTaskUntilItAnswers and is stricter (no start instead of one); TasksGoToTheAgentThatAnswers, LeavingEntryAsksForItsWaitingTasks, UsageOfTasksThatDeclareNothingIsNotAskedFor. Checked: core (with the entry's property test), agent, agent_program, entry and policy tests.

--- a/src/core/agent_core_endpoint.cc
+++ b/src/core/agent_core_endpoint.cc
@@ -90,7 +90,8 @@
 }
 
 void AgentCore::PollUsageIfDue() {
-  if (this->store.Running() == 0 || this->now < this->next_usage_poll) {
+  // Usage is only compared with declarations; without any, the request would be wasted.
+  if (!this->resources.AnyDeclared() || this->now < this->next_usage_poll) {
     return;
   }
   this->next_usage_poll = this->now + kUsagePeriod;
@@ -100,7 +101,7 @@
 void AgentCore::On(const UsageReported& event) {
   for (const TaskUsage& usage : event.tasks) {
     const TaskRecord* record = this->store.Find(usage.task);
-    if (record == nullptr || record->usage_logged) {
+    if (record == nullptr || record->usage_logged || !DeclaresAny(record->declared)) {
       continue;
     }
     TaskSpec used;
--- a/src/core/agent_directory.h
+++ b/src/core/agent_directory.h
@@ -55,6 +55,8 @@
   std::uint64_t told_arrivals = 0;
   bool notice_under_way = false;
   Time next_notice{};
+  /// When tasks began to wait for a sign of life of this agent; empty when none do.
+  std::optional<Time> asked_since;
   /// When the agent last went from no task of this entry to some.
   Time active_since{};
   /// Zero while the agent was never a member.
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -61,7 +61,6 @@
 void EntryCore::Sweep() {
   this->SweepAgents();
   this->SendHellos();
-  this->SendNotices();
   this->SweepForwards();
   this->SweepSalvages();
   this->SendAnswers();
@@ -90,6 +89,7 @@
     }
     this->PlaceTasks(service);
   }
+  this->SendNotices();
   this->SendStarts();
   if (std::exchange(this->withdrawals_changed, false)) {
     this->SendWithdrawals();
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -194,9 +194,11 @@
   /// The agent holds nothing of this entry and has not reported its load lately, so a report that
   /// says "full" is not believed any more.
   bool IsReportOld(const ServiceState& service, const Agent& agent) const;
-  /// Some quiet agent has just got its single start. Its answer comes after a round trip and frees
-  /// its slots, so until then no task joins the queue of a busy agent.
-  bool IsTryingQuietAgent(const ServiceState& service) const;
+  /// Sends the agent a notice at once. Its answer makes the agent usable again.
+  void AskForSignOfLife(Agent& agent);
+  /// Some agent has just been asked for a sign of life. Its answer comes after a round trip and
+  /// frees its slots, so until then no task joins the queue of a busy agent.
+  bool IsAskingAgents(const ServiceState& service) const;
   Choices ChoicesFor(const ServiceState& service, const Job& job, const Task& task,
                      std::span<const Usable> usable) const;
   /// Picks the agent by the placement policy; or, when only cores, memory or accelerators are
--- a/src/core/entry_core_notices.cc
+++ b/src/core/entry_core_notices.cc
@@ -54,6 +54,13 @@
 }
 
 bool EntryCore::NeedsNotice(const Agent& agent, const std::vector<Incarnation>& tellers) const {
+  if (agent.asked_since) {
+    return true;
+  }
+  // A leaving entry takes no jobs, so it only asks agents for the tasks that still wait.
+  if (this->IsLeaving()) {
+    return false;
+  }
   if (agent.member && !agent.told_member) {
     return true;
   }
@@ -68,7 +75,7 @@
 }
 
 void EntryCore::SendNotices() {
-  if (this->now < this->next_notices || this->IsLeaving()) {
+  if (this->now < this->next_notices) {
     return;
   }
   this->next_notices = this->now + kNoticeInterval;
@@ -106,6 +113,7 @@
     return;
   }
   this->directory.Hear(event.agent, &reply->load, this->now);
+  agent->asked_since.reset();
   agent->told_member = event.told.member;
   agent->told_version = std::max(agent->told_version, event.told.configuration_version);
   agent->told_arrivals = std::max(agent->told_arrivals, event.arrivals);
--- a/src/core/entry_core_starts.cc
+++ b/src/core/entry_core_starts.cc
@@ -56,13 +56,14 @@
 }
 
 bool EntryCore::MakeUsable(ServiceState& service, Agent& agent, Usable& usable) {
-  if (!agent.member || agent.leaving || this->IsLost(agent) || this->now < agent.paused_until ||
-      !this->HasRoom(service, agent)) {
+  if (!agent.member || agent.leaving || this->IsLost(agent) || this->now < agent.paused_until) {
     return false;
   }
-  // A start to an agent that may be gone finds out, at the risk of one task.
-  const bool quiet = this->IsQuiet(agent);
-  if (quiet && !agent.outstanding.empty()) {
+  if (this->IsQuiet(agent)) {
+    this->AskForSignOfLife(agent);
+    return false;
+  }
+  if (!this->HasRoom(service, agent)) {
     return false;
   }
   const std::string& name = agent.announce.name;
@@ -86,21 +87,24 @@
     candidate.free_slots = 1;
     candidate.queued = 0;
   }
-  if (quiet) {
-    candidate.free_slots = std::min(candidate.free_slots, 1);
-  }
   candidate.speed = service.model.Speed(name);
   candidate.same_data_centre = agent.announce.data_centre == this->self.data_centre;
   return true;
 }
 
-bool EntryCore::IsTryingQuietAgent(const ServiceState& service) const {
+void EntryCore::AskForSignOfLife(Agent& agent) {
+  if (!agent.asked_since) {
+    agent.asked_since = this->now;
+    this->next_notices = this->now;
+  }
+}
+
+bool EntryCore::IsAskingAgents(const ServiceState& service) const {
   const Milliseconds patience = service.configuration->health.heartbeat / kStalePart;
   return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
     const Agent& agent = element.second;
     return agent.announce.service == service.name && agent.member && !agent.leaving &&
-           !agent.outstanding.empty() && this->IsQuiet(agent) &&
-           this->now - agent.active_since < patience;
+           agent.asked_since && this->now - *agent.asked_since < patience;
   });
 }
 
@@ -239,7 +243,7 @@
     return choices.any_free ? Placed::kDeclined : Placed::kNoRoom;
   }
   if (usable[*chosen].candidate.free_slots <= 0 && !usable[*chosen].probe &&
-      this->IsTryingQuietAgent(service)) {
+      this->IsAskingAgents(service)) {
     return Placed::kDeclined;
   }
   if (!this->MayRetry(service, task)) {
--- a/src/core/worker_resources.cc
+++ b/src/core/worker_resources.cc
@@ -79,6 +79,16 @@
 WorkerResources::WorkerResources(const WorkerCapacity& worker)
     : capacity(CapacityOf(worker)), free(this->capacity) {}
 
+bool DeclaresAny(const Resources& task) {
+  return task.millicores != 0 || task.memory_mb != 0 || task.accelerators != 0;
+}
+
+bool WorkerResources::AnyDeclared() const {
+  Resources taken = this->capacity;
+  taken -= this->free;
+  return DeclaresAny(taken);
+}
+
 bool Delays(const Resources& free, const Resources& task, const Resources& waiting) {
   return DelaysBy(free.slots, task.slots, waiting.slots) ||
          DelaysBy(free.millicores, task.millicores, waiting.millicores) ||
--- a/src/core/worker_resources.h
+++ b/src/core/worker_resources.h
@@ -34,6 +34,9 @@
 /// What the agent reported as free. What the worker is not limited by is always free.
 Resources ReportedFree(const WorkerCapacity& worker, const AgentLoad& load);
 
+/// Whether the task declares cores, memory or accelerators.
+bool DeclaresAny(const Resources& task);
+
 /// Not thread-safe.
 class WorkerResources {
  public:
@@ -52,6 +55,9 @@
 
   const Resources& Free() const { return this->free; }
 
+  /// Whether some running task declares cores, memory or accelerators.
+  bool AnyDeclared() const;
+
  private:
   Resources capacity;
   Resources free;
--- a/tests/agent/worker_resources_test.cc
+++ b/tests/agent/worker_resources_test.cc
@@ -159,5 +159,14 @@
   EXPECT_TRUE(Select<PollUsage>(this->Handle(Tick{}, 60000)).empty());
 }
 
+// Polls whose answer has nothing to be compared with were a third of rabaryog's wasted messages.
+TEST_F(SharedWorkerTest, UsageOfTasksThatDeclareNothingIsNotAskedFor) {
+  EXPECT_EQ(this->Start(1, Spec(0, 0, 0)), "started");
+  EXPECT_TRUE(Select<PollUsage>(this->Handle(Tick{}, 10000)).empty());
+  EXPECT_TRUE(Select<LogEvent>(this->Handle(UsageReported{{{MakeTask(1), 1, 1, 0}}})).empty());
+  EXPECT_EQ(this->Start(2, Spec(0, 100, 0)), "started");
+  EXPECT_EQ(Select<PollUsage>(this->Handle(Tick{}, 2100)).size(), 1U);
+}
+
 }  // namespace
 }  // namespace quetzalvale
--- a/tests/core/membership_test.cc
+++ b/tests/core/membership_test.cc
@@ -70,6 +70,24 @@
     return this->Select<SendStart>();
   }
 
+  static Heartbeat IdleHeartbeat(const Incarnation& agent) {
+    AgentLoad load;
+    load.free_slots = 8;
+    load.configuration_version = 1;
+    return {agent, load, 0};
+  }
+
+  /// Answers the notices among the actions; keeps the actions that follow.
+  void AnswerNotices() {
+    std::vector<EntryAction> all;
+    for (const SendNotice& notice : this->Select<SendNotice>()) {
+      this->Send(NoticeReplied{notice.agent, notice.message, notice.arrivals,
+                               this->IdleHeartbeat(notice.agent)});
+      all.insert(all.end(), this->actions.begin(), this->actions.end());
+    }
+    this->actions = std::move(all);
+  }
+
   std::size_t KnownAgents() const {
     return this->core.Status(this->now).services.at(0).agents.size();
   }
@@ -97,30 +115,65 @@
 TEST_F(MembershipTest, ActiveAgentIsDeadSoonCountedFromTheStart) {
   this->AddAgent(kAgent, "a");
   this->Wait(seconds(19));
-  ASSERT_EQ(this->Submit(1).size(), 1U);
+  EXPECT_TRUE(this->Submit(1).empty());
+  this->AnswerNotices();
+  ASSERT_EQ(this->Select<SendStart>().size(), 1U);
   this->Wait(Milliseconds(9750));
   EXPECT_EQ(this->KnownAgents(), 1U);
   this->Wait(Milliseconds(250));
   EXPECT_EQ(this->KnownAgents(), 0U);
 }
 
-// An agent that died while idle must not take a whole job with it.
-TEST_F(MembershipTest, QuietAgentGetsOneTaskUntilItAnswers) {
+// A start to an agent that died while idle would leave the outcome of its tasks unknown.
+TEST_F(MembershipTest, QuietAgentIsAskedBeforeItGetsTasks) {
   this->AddAgent(kAgent, "a");
   this->Wait(seconds(4));
-  const auto starts = this->Submit(3);
-  ASSERT_EQ(starts.size(), 1U);
-  EXPECT_EQ(starts[0].message.items.size(), 1U);
+  EXPECT_TRUE(this->Submit(3).empty());
+  ASSERT_EQ(this->Select<SendNotice>().size(), 1U);
+  const SendNotice notice = this->Select<SendNotice>()[0];
   this->Wait(seconds(1));
   EXPECT_TRUE(this->Select<SendStart>().empty());
-  StartReply reply;
-  reply.agent = kAgent;
-  reply.decisions = {StartRefusal::kNone};
-  reply.load.free_slots = 7;
-  this->Send(StartReplied{kAgent, starts[0].message.channel_sequence, reply});
+  EXPECT_TRUE(this->Select<SendNotice>().empty()) << "one is under way";
+  this->Send(NoticeReplied{kAgent, notice.message, 0, Error{ErrorKind::kTimeout, "lost"}});
+  this->Wait(Milliseconds(1250));
+  EXPECT_TRUE(this->Select<SendStart>().empty());
+  EXPECT_EQ(this->Select<SendNotice>().size(), 1U) << "repeated";
+  this->AnswerNotices();
   std::size_t items = 0;
   for (const auto& start : this->Select<SendStart>()) items += start.message.items.size();
-  EXPECT_EQ(items, 2U);
+  EXPECT_EQ(items, 3U);
+}
+
+// Jobs that wait for a silent agent would miss the free slots of one that answers.
+TEST_F(MembershipTest, TasksGoToTheAgentThatAnswers) {
+  this->AddAgent(kAgent, "a");
+  this->AddAgent({5, 2}, "b");
+  this->Wait(seconds(4));
+  EXPECT_TRUE(this->Submit(2).empty());
+  ASSERT_EQ(this->Select<SendNotice>().size(), 2U);
+  for (const SendNotice& notice : this->Select<SendNotice>()) {
+    if (notice.agent == kAgent) {
+      continue;
+    }
+    this->Send(NoticeReplied{notice.agent, notice.message, 0, this->IdleHeartbeat(notice.agent)});
+  }
+  ASSERT_EQ(this->Select<SendStart>().size(), 1U);
+  EXPECT_EQ(this->Select<SendStart>()[0].address, "b");
+  EXPECT_EQ(this->Select<SendStart>()[0].message.items.size(), 2U);
+}
+
+// A leaving entry that asks nobody would keep the tasks that still wait until their deadline.
+TEST_F(MembershipTest, LeavingEntryAsksForItsWaitingTasks) {
+  this->AddAgent(kAgent, "a");
+  this->Wait(seconds(4));
+  EXPECT_TRUE(this->Submit(1).empty());
+  const SendNotice notice = this->Select<SendNotice>().at(0);
+  this->Send(NoticeReplied{kAgent, notice.message, 0, Error{ErrorKind::kTimeout, "lost"}});
+  this->Send(LeaveRequested{});
+  this->Wait(Milliseconds(1250));
+  ASSERT_EQ(this->Select<SendNotice>().size(), 1U);
+  this->AnswerNotices();
+  EXPECT_EQ(this->Select<SendStart>().size(), 1U);
 }
 
 TEST_F(MembershipTest, AsksUnknownAgentsForAnAnnouncement) {
