Hold a relayed message by what was read

The relay looked for arrived bytes and read them in two steps; bytes that came in between passed although the message was to be held, and the test waited for ever. Ruled out: a lost wake-up (the stack showed the relay polling and no message held). Change: the relay decides after reading, before writing. A held message waits in the relay.

--- a/src/scenario/relay_hub.cc
+++ b/src/scenario/relay_hub.cc
@@ -5,7 +5,6 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -97,7 +96,6 @@
       this->Accept(relay);
     }
     for (Connection& connection : this->connections) {
-      this->HoldIfWanted(connection.request);
       const bool intact = this->Move(connection.request) && this->Move(connection.reply);
       connection.broken = !intact;
     }
@@ -132,45 +130,52 @@
   const std::string name = this->name_client(ntohs(client_address.sin_port), relay.relay_port);
   Connection connection;
   connection.request = {client, server, name, relay.target, "", false};
+  connection.request.is_request = true;
   connection.reply = {server, client, relay.target, name, "", false};
   this->connections.push_back(std::move(connection));
 }
 
-void RelayHub::HoldIfWanted(Stream& stream) {
-  if (stream.held) {
-    stream.held = this->links.IsHolding(stream.from, stream.to);
-    return;
-  }
-  int arrived = 0;
-  const bool readable = !stream.ended && ioctl(stream.source, FIONREAD, &arrived) == 0;
-  stream.held = readable && arrived > 0 && this->links.TakeHold(stream.from, stream.to);
-}
-
 bool RelayHub::IsMovable(const Stream& stream) const {
   return !stream.ended && !stream.held && !this->links.IsCut(stream.from, stream.to);
 }
 
 bool RelayHub::Move(Stream& stream) const {
+  if (stream.held) {
+    stream.held = this->links.IsHolding(stream.from, stream.to);
+  }
   if (stream.ended || stream.held) {
     return true;
   }
-  return this->links.IfOpen(stream.from, stream.to, [&stream] { return Transfer(stream); });
-}
-
-bool RelayHub::Transfer(Stream& stream) {
   if (stream.pending.empty()) {
-    std::array<char, kChunkBytes> chunk;
-    const ssize_t count = read(stream.source, chunk.data(), chunk.size());
-    if (count < 0) {
-      return WouldBlock();
+    if (!this->links.IfOpen(stream.from, stream.to, [&stream] { return Read(stream); })) {
+      return false;
     }
-    if (count == 0) {
-      stream.ended = true;
-      shutdown(stream.sink, SHUT_WR);
+    // Decided on what was read: bytes that arrive after an earlier look would pass unheld.
+    stream.held = stream.is_request && !stream.pending.empty() &&
+                  this->links.TakeHold(stream.from, stream.to);
+    if (stream.held || stream.pending.empty()) {
       return true;
     }
-    stream.pending.assign(chunk.data(), static_cast<std::size_t>(count));
   }
+  return this->links.IfOpen(stream.from, stream.to, [&stream] { return Write(stream); });
+}
+
+bool RelayHub::Read(Stream& stream) {
+  std::array<char, kChunkBytes> chunk;
+  const ssize_t count = read(stream.source, chunk.data(), chunk.size());
+  if (count < 0) {
+    return WouldBlock();
+  }
+  if (count == 0) {
+    stream.ended = true;
+    shutdown(stream.sink, SHUT_WR);
+    return true;
+  }
+  stream.pending.assign(chunk.data(), static_cast<std::size_t>(count));
+  return true;
+}
+
+bool RelayHub::Write(Stream& stream) {
   const ssize_t written =
       send(stream.sink, stream.pending.data(), stream.pending.size(), MSG_NOSIGNAL);
   if (written < 0) {
--- a/src/scenario/relay_hub.h
+++ b/src/scenario/relay_hub.h
@@ -51,6 +51,8 @@
     bool ended = false;
     /// Delayed until the direction is released.
     bool held = false;
+    /// From the process that connected. Only these are held.
+    bool is_request = false;
   };
   struct Connection {
     Stream request;
@@ -61,12 +63,11 @@
   void Run();
   std::vector<Relay> CopyRelays() const;
   void Accept(const Relay& relay);
-  /// Holds the stream if a message has arrived on it and the script wants it held.
-  void HoldIfWanted(Stream& stream);
   bool IsMovable(const Stream& stream) const;
   /// Moves what can be moved without blocking. Returns false when the connection broke.
   bool Move(Stream& stream) const;
-  static bool Transfer(Stream& stream);
+  static bool Read(Stream& stream);
+  static bool Write(Stream& stream);
   static void CloseConnection(Connection& connection);
 
   LinkTable& links;
