Make notices and announcement replies in one place, and share the start of the unguarded programs

Cause: SendNotices and MakeAnnounceReply assembled the same message twice; the two test programs without a guard repeated their start and stop line by line. Change: MakeNotice makes the message for both; RunUnguarded runs either process. Ruled out as real duplicates: the schema texts, and the two relay tests, whose set-up is short and read beside the checks.

--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -242,6 +242,8 @@
   bool IsQuiet(const Agent& agent) const;
 
   // Replies and notices to agents (entry_core_notices.cc).
+  /// What an agent is told of this entry. `service` and `agent` may be null.
+  AnnounceReply MakeNotice(const ServiceState* service, const Agent* agent) const;
   AnnounceReply MakeAnnounceReply(const ServiceState* service, Agent* agent,
                                   std::uint64_t held_digest);
   void SendNotices();
--- a/src/core/entry_core_notices.cc
+++ b/src/core/entry_core_notices.cc
@@ -21,18 +21,25 @@
 
 }  // namespace
 
+AnnounceReply EntryCore::MakeNotice(const ServiceState* service, const Agent* agent) const {
+  AnnounceReply notice;
+  notice.entry = this->self;
+  notice.entries = this->peers.Alive(this->Health().agent_dead, this->now);
+  notice.entries_digest = DigestOf(notice.entries, {});
+  notice.configuration_version = service == nullptr ? 0 : service->configuration->version;
+  if (agent != nullptr) {
+    notice.member = agent->member;
+  }
+  return notice;
+}
+
 AnnounceReply EntryCore::MakeAnnounceReply(const ServiceState* service, Agent* agent,
                                            std::uint64_t held_digest) {
-  AnnounceReply reply;
-  reply.entry = this->self;
-  reply.entries = this->peers.Alive(this->Health().agent_dead, this->now);
-  reply.entries_digest = DigestOf(reply.entries, {});
+  AnnounceReply reply = this->MakeNotice(service, agent);
   if (held_digest == reply.entries_digest) {
     reply.entries.clear();
   }
-  reply.configuration_version = service == nullptr ? 0 : service->configuration->version;
   if (agent != nullptr) {
-    reply.member = agent->member;
     // A reply that is lost makes the agent ask again within a few heartbeats.
     agent->told_member = reply.member;
     agent->told_version = reply.configuration_version;
@@ -90,12 +97,7 @@
     notice.address = agent.announce.address;
     notice.agent = incarnation;
     notice.arrivals = this->peers.Arrivals();
-    notice.message.entry = this->self;
-    notice.message.entries = this->peers.Alive(this->Health().agent_dead, this->now);
-    notice.message.entries_digest = DigestOf(notice.message.entries, {});
-    notice.message.configuration_version =
-        this->FindService(agent.announce.service)->configuration->version;
-    notice.message.member = agent.member;
+    notice.message = this->MakeNotice(this->FindService(agent.announce.service), &agent);
     ++this->counters.notices_sent;
     this->Do(std::move(notice));
   }
--- a/tests/unguarded/agent_main.cc
+++ b/tests/unguarded/agent_main.cc
@@ -1,13 +1,5 @@
 // unguarded-agent: the agent without one guard, for scenarios that must then fail.
-#include <unistd.h>
-
-#include <csignal>
-#include <cstdlib>
-
 #include "agent/agent_process.h"
-#include "http/http_server.h"
-#include "runtime/log.h"
-#include "runtime/signals.h"
 #include "tests/unguarded/options.h"
 
 namespace quetzalvale {
@@ -31,31 +23,10 @@
   return true;
 }
 
-int Run(const UnguardedOptions& options) {
-  AgentGuards guards;
-  if (!Remove(options.guard, guards)) {
-    std::cerr << "the agent has no guard " << options.guard << "\n";
-    return EXIT_FAILURE;
-  }
-  InitLog("unguarded-agent", ParseLogLevel(options.settings.log_level));
-  InitHttpThreads(kHttpThreads);
-  AgentProcess agent(
-      options.settings, [] { kill(getpid(), SIGTERM); }, std::move(guards));
-  const std::string problem = agent.Start();
-  if (!problem.empty()) {
-    std::cerr << problem << "\n";
-    return EXIT_FAILURE;
-  }
-  WaitForStopSignal();
-  agent.Leave();
-  return EXIT_SUCCESS;
-}
-
 }  // namespace
 }  // namespace quetzalvale
 
 int main(int argc, char** argv) {
-  quetzalvale::BlockStopSignals();
-  const auto options = quetzalvale::ReadUnguardedOptions(argc, argv);
-  return options ? quetzalvale::Run(*options) : EXIT_FAILURE;
+  return quetzalvale::RunUnguarded<quetzalvale::AgentProcess, quetzalvale::AgentGuards>(
+      argc, argv, "unguarded-agent", quetzalvale::kHttpThreads, quetzalvale::Remove);
 }
--- a/tests/unguarded/entry_main.cc
+++ b/tests/unguarded/entry_main.cc
@@ -1,13 +1,5 @@
 // unguarded-entry: the entry without one guard, for scenarios that must then fail.
-#include <unistd.h>
-
-#include <csignal>
-#include <cstdlib>
-
 #include "entry/entry_process.h"
-#include "http/http_server.h"
-#include "runtime/log.h"
-#include "runtime/signals.h"
 #include "tests/unguarded/options.h"
 
 namespace quetzalvale {
@@ -41,31 +33,10 @@
   return true;
 }
 
-int Run(const UnguardedOptions& options) {
-  EntryGuards guards;
-  if (!Remove(options.guard, guards)) {
-    std::cerr << "the entry has no guard " << options.guard << "\n";
-    return EXIT_FAILURE;
-  }
-  InitLog("unguarded-entry", ParseLogLevel(options.settings.log_level));
-  InitHttpThreads(kHttpThreads);
-  EntryProcess entry(
-      options.settings, [] { kill(getpid(), SIGTERM); }, std::move(guards));
-  const std::string problem = entry.Start();
-  if (!problem.empty()) {
-    std::cerr << problem << "\n";
-    return EXIT_FAILURE;
-  }
-  WaitForStopSignal();
-  entry.Leave();
-  return EXIT_SUCCESS;
-}
-
 }  // namespace
 }  // namespace quetzalvale
 
 int main(int argc, char** argv) {
-  quetzalvale::BlockStopSignals();
-  const auto options = quetzalvale::ReadUnguardedOptions(argc, argv);
-  return options ? quetzalvale::Run(*options) : EXIT_FAILURE;
+  return quetzalvale::RunUnguarded<quetzalvale::EntryProcess, quetzalvale::EntryGuards>(
+      argc, argv, "unguarded-entry", quetzalvale::kHttpThreads, quetzalvale::Remove);
 }
--- a/tests/unguarded/options.h
+++ b/tests/unguarded/options.h
@@ -2,12 +2,18 @@
 #pragma once
 
 #include <docopt/docopt.h>
+#include <unistd.h>
 
+#include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <optional>
 #include <string>
 
+#include "http/http_server.h"
+#include "runtime/log.h"
+#include "runtime/signals.h"
 #include "settings/process_settings.h"
 
 namespace quetzalvale {
@@ -35,4 +41,33 @@
                           std::get<ProcessSettings>(std::move(settings))};
 }
 
+/// Runs a Process without one guard until a stop signal. `remove` takes the guard out of Guards, or
+/// returns false when there is no such guard. Returns the exit code.
+template <typename Process, typename Guards>
+int RunUnguarded(int argc, char** argv, const char* program, int http_threads,
+                 bool (*remove)(const std::string&, Guards&)) {
+  BlockStopSignals();
+  const auto options = ReadUnguardedOptions(argc, argv);
+  if (!options) {
+    return EXIT_FAILURE;
+  }
+  Guards guards;
+  if (!remove(options->guard, guards)) {
+    std::cerr << program << " has no guard " << options->guard << "\n";
+    return EXIT_FAILURE;
+  }
+  InitLog(program, ParseLogLevel(options->settings.log_level));
+  InitHttpThreads(http_threads);
+  Process process(
+      options->settings, [] { kill(getpid(), SIGTERM); }, std::move(guards));
+  const std::string problem = process.Start();
+  if (!problem.empty()) {
+    std::cerr << problem << "\n";
+    return EXIT_FAILURE;
+  }
+  WaitForStopSignal();
+  process.Leave();
+  return EXIT_SUCCESS;
+}
+
 }  // namespace quetzalvale
