--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -17,6 +17,8 @@
 find_package(Python3 3.10 REQUIRED COMPONENTS Interpreter)
 add_test(NAME operator COMMAND ${Python3_EXECUTABLE} -B tests/operator/quetzalvale_test.py
          WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+add_test(NAME lint_key COMMAND ${Python3_EXECUTABLE} -B tests/scripts/lint_key_test.py
+         WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 add_test(NAME docs COMMAND ${Python3_EXECUTABLE} -B tests/docs/events_test.py
          WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
 
--- a/src/entry/inner_api.cc
+++ b/src/entry/inner_api.cc
@@ -36,8 +36,8 @@
     return this->Call([&](RequestId id) { return AgentAnnounced{id, std::move(message)}; });
   });
   server.Register("heartbeat", [this](const Json::Value& parameters) {
-    auto message = Decode<Heartbeat>(parameters);
-    return this->Call([&](RequestId id) { return HeartbeatReceived{id, std::move(message)}; });
+    const auto message = Decode<Heartbeat>(parameters);
+    return this->Call([&](RequestId id) { return HeartbeatReceived{id, message}; });
   });
   server.Register("outcomes", [this](const Json::Value& parameters) {
     auto message = Decode<OutcomesRequest>(parameters);
