Lay out src/core by concern, and name the table client's package store

Moves only: the entry's logic, the agent's logic, load decisions (policy) and what they share get folders of their own, because 57 files in one folder hid which of them belong together. src/platform becomes src/store, so that it is not confused with the adapter for the users' platform that is coming in platform/. No code changes but include paths.

--- a/src/agent/action_runner.h
+++ b/src/agent/action_runner.h
@@ -7,7 +7,7 @@
 #include "agent/agent_thread.h"
 #include "agent/endpoint_client.h"
 #include "agent/inner_api.h"
-#include "core/agent_events.h"
+#include "core/agent/agent_events.h"
 #include "protocol/peer_senders.h"
 #include "runtime/metrics.h"
 
--- a/src/agent/agent_process.h
+++ b/src/agent/agent_process.h
@@ -11,7 +11,7 @@
 #include "agent/agent_thread.h"
 #include "agent/endpoint_client.h"
 #include "agent/inner_api.h"
-#include "core/agent_core.h"
+#include "core/agent/agent_core.h"
 #include "http/http_server.h"
 #include "protocol/peer_senders.h"
 #include "protocol/rpc_server.h"
--- a/src/agent/agent_thread.h
+++ b/src/agent/agent_thread.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <functional>
 
-#include "core/agent_core.h"
+#include "core/agent/agent_core.h"
 #include "runtime/clock.h"
 #include "runtime/event_loop.h"
 #include "runtime/metrics.h"
--- a/src/agent/endpoint_client.h
+++ b/src/agent/endpoint_client.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "core/agent_events.h"
+#include "core/agent/agent_events.h"
 #include "http/http_client.h"
 #include "runtime/metrics.h"
 
--- a/src/core/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -11,19 +11,19 @@
 #include <string_view>
 #include <vector>
 
-#include "core/agent_events.h"
-#include "core/agent_guards.h"
-#include "core/announcer.h"
-#include "core/channel_table.h"
-#include "core/endpoint_watch.h"
-#include "core/lease_keeper.h"
+#include "core/agent/agent_events.h"
+#include "core/agent/agent_guards.h"
+#include "core/agent/announcer.h"
+#include "core/agent/channel_table.h"
+#include "core/agent/endpoint_watch.h"
+#include "core/agent/lease_keeper.h"
+#include "core/agent/outcome_sender.h"
+#include "core/agent/sealed_tickets.h"
+#include "core/agent/started_tickets.h"
+#include "core/agent/task_store.h"
 #include "core/messages.h"
-#include "core/outcome_sender.h"
-#include "core/sealed_tickets.h"
+#include "core/policy/worker_resources.h"
 #include "core/service_configuration.h"
-#include "core/started_tickets.h"
-#include "core/task_store.h"
-#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
--- a/src/core/agent_core_endpoint.cc
+++ b/src/core/agent/agent_core_endpoint.cc
@@ -1,8 +1,8 @@
 // Answers and checks of the endpoint, and renewal of leases.
 #include <utility>
 
-#include "core/agent_core.h"
-#include "core/outcome_reasons.h"
+#include "core/agent/agent_core.h"
+#include "core/agent/outcome_reasons.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -2,7 +2,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/agent_core.h"
+#include "core/agent/agent_core.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/agent_core_outcomes.cc
+++ b/src/core/agent/agent_core_outcomes.cc
@@ -1,8 +1,8 @@
 // Delivery of outcomes to their owners.
 #include <utility>
 
-#include "core/agent_core.h"
-#include "core/outcome_reasons.h"
+#include "core/agent/agent_core.h"
+#include "core/agent/outcome_reasons.h"
 
 namespace quetzalvale {
 
--- a/src/core/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -2,8 +2,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/agent_core.h"
-#include "core/outcome_reasons.h"
+#include "core/agent/agent_core.h"
+#include "core/agent/outcome_reasons.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/agent_core_withdrawal.cc
+++ b/src/core/agent/agent_core_withdrawal.cc
@@ -1,8 +1,8 @@
 // Withdrawal of tasks and sealing of tickets for salvage.
 #include <utility>
 
-#include "core/agent_core.h"
-#include "core/outcome_reasons.h"
+#include "core/agent/agent_core.h"
+#include "core/agent/outcome_reasons.h"
 
 namespace quetzalvale {
 
--- a/src/core/agent_events.h
+++ b/src/core/agent/agent_events.h
@@ -6,9 +6,9 @@
 #include <variant>
 #include <vector>
 
-#include "core/entry_events.h"
+#include "core/entry/entry_events.h"
 #include "core/messages.h"
-#include "core/worker_resources.h"
+#include "core/policy/worker_resources.h"
 
 namespace quetzalvale {
 
--- a/src/core/agent_guards.h
+++ b/src/core/agent/agent_guards.h
@@ -4,11 +4,11 @@
 #include <cstdint>
 #include <functional>
 
-#include "core/channel_table.h"
-#include "core/sealed_tickets.h"
-#include "core/started_tickets.h"
+#include "core/agent/channel_table.h"
+#include "core/agent/sealed_tickets.h"
+#include "core/agent/started_tickets.h"
+#include "core/policy/worker_resources.h"
 #include "core/types.h"
-#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
--- a/src/core/announcer.cc
+++ b/src/core/agent/announcer.cc
@@ -1,4 +1,4 @@
-#include "core/announcer.h"
+#include "core/agent/announcer.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/channel_table.cc
+++ b/src/core/agent/channel_table.cc
@@ -1,4 +1,4 @@
-#include "core/channel_table.h"
+#include "core/agent/channel_table.h"
 
 #include <utility>
 
--- a/src/core/channel_table.h
+++ b/src/core/agent/channel_table.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/channel_window.h"
+#include "core/agent/channel_window.h"
 #include "core/types.h"
 
 namespace quetzalvale {
--- a/src/core/channel_window.cc
+++ b/src/core/agent/channel_window.cc
@@ -1,4 +1,4 @@
-#include "core/channel_window.h"
+#include "core/agent/channel_window.h"
 
 #include <limits>
 
--- a/src/core/endpoint_watch.cc
+++ b/src/core/agent/endpoint_watch.cc
@@ -1,4 +1,4 @@
-#include "core/endpoint_watch.h"
+#include "core/agent/endpoint_watch.h"
 
 #include <algorithm>
 
--- a/src/core/lease_keeper.cc
+++ b/src/core/agent/lease_keeper.cc
@@ -1,4 +1,4 @@
-#include "core/lease_keeper.h"
+#include "core/agent/lease_keeper.h"
 
 #include <set>
 #include <utility>
--- a/src/core/outcome_sender.cc
+++ b/src/core/agent/outcome_sender.cc
@@ -1,4 +1,4 @@
-#include "core/outcome_sender.h"
+#include "core/agent/outcome_sender.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/sealed_tickets.cc
+++ b/src/core/agent/sealed_tickets.cc
@@ -1,4 +1,4 @@
-#include "core/sealed_tickets.h"
+#include "core/agent/sealed_tickets.h"
 
 #include <algorithm>
 
--- a/src/core/started_tickets.cc
+++ b/src/core/agent/started_tickets.cc
@@ -1,4 +1,4 @@
-#include "core/started_tickets.h"
+#include "core/agent/started_tickets.h"
 
 #include <algorithm>
 
--- a/src/core/task_store.h
+++ b/src/core/agent/task_store.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "core/messages.h"
-#include "core/worker_resources.h"
+#include "core/policy/worker_resources.h"
 
 namespace quetzalvale {
 
--- a/src/core/agent_directory.h
+++ b/src/core/entry/agent_directory.h
@@ -10,12 +10,12 @@
 #include <string>
 #include <vector>
 
-#include "core/job_table.h"
+#include "core/entry/job_table.h"
+#include "core/entry/withdraw_queue.h"
 #include "core/messages.h"
+#include "core/policy/worker_resources.h"
 #include "core/service_configuration.h"
 #include "core/types.h"
-#include "core/withdraw_queue.h"
-#include "core/worker_resources.h"
 
 namespace quetzalvale {
 
--- a/src/core/answer_outbox.cc
+++ b/src/core/entry/answer_outbox.cc
@@ -1,4 +1,4 @@
-#include "core/answer_outbox.h"
+#include "core/entry/answer_outbox.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/answer_outbox.h
+++ b/src/core/entry/answer_outbox.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/entry_events.h"
+#include "core/entry/entry_events.h"
 #include "core/messages.h"
 #include "core/types.h"
 
--- a/src/core/entries_digest.cc
+++ b/src/core/entry/entries_digest.cc
@@ -1,4 +1,4 @@
-#include "core/entries_digest.h"
+#include "core/entry/entries_digest.h"
 
 #include <xxhash.h>
 
--- a/src/core/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -11,20 +11,20 @@
 #include <utility>
 #include <vector>
 
-#include "core/admission.h"
-#include "core/agent_directory.h"
-#include "core/answer_outbox.h"
-#include "core/answer_store.h"
-#include "core/entry_events.h"
-#include "core/entry_guards.h"
-#include "core/entry_status.h"
-#include "core/forward_table.h"
-#include "core/job_table.h"
-#include "core/peer_table.h"
-#include "core/placement.h"
-#include "core/salvage.h"
-#include "core/service_state.h"
-#include "core/start_batcher.h"
+#include "core/entry/agent_directory.h"
+#include "core/entry/answer_outbox.h"
+#include "core/entry/answer_store.h"
+#include "core/entry/entry_events.h"
+#include "core/entry/entry_guards.h"
+#include "core/entry/entry_status.h"
+#include "core/entry/forward_table.h"
+#include "core/entry/job_table.h"
+#include "core/entry/peer_table.h"
+#include "core/entry/salvage.h"
+#include "core/entry/service_state.h"
+#include "core/entry/start_batcher.h"
+#include "core/policy/admission.h"
+#include "core/policy/placement.h"
 
 namespace quetzalvale {
 
--- a/src/core/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <utility>
 
-#include "core/entry_core.h"
+#include "core/entry/entry_core.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/entry_core_peers.cc
+++ b/src/core/entry/entry_core_peers.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <utility>
 
-#include "core/entries_digest.h"
-#include "core/entry_core.h"
+#include "core/entry/entries_digest.h"
+#include "core/entry/entry_core.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/entry_guards.h
+++ b/src/core/entry/entry_guards.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <optional>
 
-#include "core/forward_table.h"
+#include "core/entry/forward_table.h"
 #include "core/result.h"
 
 namespace quetzalvale {
--- a/src/core/forward_table.cc
+++ b/src/core/entry/forward_table.cc
@@ -1,4 +1,4 @@
-#include "core/forward_table.h"
+#include "core/entry/forward_table.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/forward_table.h
+++ b/src/core/entry/forward_table.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/entry_events.h"
+#include "core/entry/entry_events.h"
 #include "core/messages.h"
 #include "core/types.h"
 
--- a/src/core/job_table.cc
+++ b/src/core/entry/job_table.cc
@@ -1,4 +1,4 @@
-#include "core/job_table.h"
+#include "core/entry/job_table.h"
 
 namespace quetzalvale {
 
--- a/src/core/peer_table.cc
+++ b/src/core/entry/peer_table.cc
@@ -1,10 +1,10 @@
-#include "core/peer_table.h"
+#include "core/entry/peer_table.h"
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
-#include "core/entries_digest.h"
+#include "core/entry/entries_digest.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/core/service_state.cc
+++ b/src/core/entry/service_state.cc
@@ -1,4 +1,4 @@
-#include "core/service_state.h"
+#include "core/entry/service_state.h"
 
 #include <utility>
 
--- a/src/core/service_state.h
+++ b/src/core/entry/service_state.h
@@ -5,15 +5,15 @@
 #include <memory>
 #include <string>
 
-#include "core/arrival_rates.h"
-#include "core/health_tracker.h"
-#include "core/placement.h"
-#include "core/quota_table.h"
-#include "core/retry_budget.h"
-#include "core/run_time_model.h"
+#include "core/entry/ticket_ledger.h"
+#include "core/policy/arrival_rates.h"
+#include "core/policy/health_tracker.h"
+#include "core/policy/placement.h"
+#include "core/policy/quota_table.h"
+#include "core/policy/retry_budget.h"
+#include "core/policy/run_time_model.h"
+#include "core/policy/start_queue.h"
 #include "core/service_configuration.h"
-#include "core/start_queue.h"
-#include "core/ticket_ledger.h"
 
 namespace quetzalvale {
 
--- a/src/core/start_batcher.cc
+++ b/src/core/entry/start_batcher.cc
@@ -1,4 +1,4 @@
-#include "core/start_batcher.h"
+#include "core/entry/start_batcher.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/start_batcher.h
+++ b/src/core/entry/start_batcher.h
@@ -5,7 +5,7 @@
 #include <map>
 #include <vector>
 
-#include "core/job_table.h"
+#include "core/entry/job_table.h"
 #include "core/types.h"
 
 namespace quetzalvale {
--- a/src/core/ticket_ledger.cc
+++ b/src/core/entry/ticket_ledger.cc
@@ -1,4 +1,4 @@
-#include "core/ticket_ledger.h"
+#include "core/entry/ticket_ledger.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/ticket_ledger.h
+++ b/src/core/entry/ticket_ledger.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/answer_store.h"
+#include "core/entry/answer_store.h"
 #include "core/messages.h"
 #include "core/service_configuration.h"
 #include "core/types.h"
--- a/src/core/withdraw_queue.cc
+++ b/src/core/entry/withdraw_queue.cc
@@ -1,4 +1,4 @@
-#include "core/withdraw_queue.h"
+#include "core/entry/withdraw_queue.h"
 
 #include <algorithm>
 
--- a/src/core/withdraw_queue.h
+++ b/src/core/entry/withdraw_queue.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <vector>
 
-#include "core/job_table.h"
+#include "core/entry/job_table.h"
 #include "core/types.h"
 
 namespace quetzalvale {
--- a/src/core/admission.cc
+++ b/src/core/policy/admission.cc
@@ -1,4 +1,4 @@
-#include "core/admission.h"
+#include "core/policy/admission.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/admission.h
+++ b/src/core/policy/admission.h
@@ -5,7 +5,7 @@
 #include <span>
 
 #include "core/messages.h"
-#include "core/run_time_model.h"
+#include "core/policy/run_time_model.h"
 #include "core/service_configuration.h"
 
 namespace quetzalvale {
--- a/src/core/arrival_rates.cc
+++ b/src/core/policy/arrival_rates.cc
@@ -1,4 +1,4 @@
-#include "core/arrival_rates.h"
+#include "core/policy/arrival_rates.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/fair_queue.cc
+++ b/src/core/policy/fair_queue.cc
@@ -1,4 +1,4 @@
-#include "core/fair_queue.h"
+#include "core/policy/fair_queue.h"
 
 #include <algorithm>
 
--- a/src/core/fair_queue.h
+++ b/src/core/policy/fair_queue.h
@@ -10,7 +10,7 @@
 #include <tuple>
 #include <utility>
 
-#include "core/job_table.h"
+#include "core/entry/job_table.h"
 #include "core/types.h"
 
 namespace quetzalvale {
--- a/src/core/health_tracker.cc
+++ b/src/core/policy/health_tracker.cc
@@ -1,4 +1,4 @@
-#include "core/health_tracker.h"
+#include "core/policy/health_tracker.h"
 
 #include <algorithm>
 
--- a/src/core/run_time_model.cc
+++ b/src/core/policy/run_time_model.cc
@@ -1,4 +1,4 @@
-#include "core/run_time_model.h"
+#include "core/policy/run_time_model.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/start_queue.cc
+++ b/src/core/policy/start_queue.cc
@@ -1,4 +1,4 @@
-#include "core/start_queue.h"
+#include "core/policy/start_queue.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/core/start_queue.h
+++ b/src/core/policy/start_queue.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <utility>
 
-#include "core/fair_queue.h"
-#include "core/job_table.h"
+#include "core/entry/job_table.h"
+#include "core/policy/fair_queue.h"
 #include "core/types.h"
 
 namespace quetzalvale {
--- a/src/core/worker_resources.cc
+++ b/src/core/policy/worker_resources.cc
@@ -1,4 +1,4 @@
-#include "core/worker_resources.h"
+#include "core/policy/worker_resources.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/entry/action_runner.h
+++ b/src/entry/action_runner.h
@@ -4,16 +4,16 @@
 #include <string>
 #include <vector>
 
-#include "core/entry_events.h"
+#include "core/entry/entry_events.h"
 #include "entry/core_thread.h"
 #include "entry/inner_api.h"
 #include "entry/message_accounting.h"
 #include "entry/open_requests.h"
 #include "entry/worker_pool.h"
-#include "platform/key_registry.h"
 #include "protocol/peer_senders.h"
 #include "runtime/clock.h"
 #include "runtime/metrics.h"
+#include "store/key_registry.h"
 
 namespace quetzalvale {
 
--- a/src/entry/admin_api.h
+++ b/src/entry/admin_api.h
@@ -9,8 +9,8 @@
 #include "entry/core_thread.h"
 #include "entry/worker_pool.h"
 #include "http/http_messages.h"
-#include "platform/configuration_store.h"
 #include "protocol/peer_senders.h"
+#include "store/configuration_store.h"
 
 namespace quetzalvale {
 
--- a/src/entry/configuration_book.h
+++ b/src/entry/configuration_book.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "core/service_configuration.h"
-#include "platform/configuration_store.h"
+#include "store/configuration_store.h"
 
 namespace quetzalvale {
 
--- a/src/entry/core_thread.h
+++ b/src/entry/core_thread.h
@@ -5,7 +5,7 @@
 #include <variant>
 #include <vector>
 
-#include "core/entry_core.h"
+#include "core/entry/entry_core.h"
 #include "runtime/clock.h"
 #include "runtime/event_loop.h"
 
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "core/entry_status.h"
+#include "core/entry/entry_status.h"
 #include "runtime/metrics.h"
 
 namespace quetzalvale {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -15,8 +15,8 @@
 #include "entry/inner_api.h"
 #include "entry/platform_poller.h"
 #include "http/http_server.h"
-#include "platform/http_table_client.h"
 #include "settings/process_settings.h"
+#include "store/http_table_client.h"
 
 namespace quetzalvale {
 
--- a/src/entry/message_accounting.h
+++ b/src/entry/message_accounting.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/entry_events.h"
+#include "core/entry/entry_events.h"
 
 namespace quetzalvale {
 
--- a/src/entry/platform_poller.h
+++ b/src/entry/platform_poller.h
@@ -10,11 +10,11 @@
 #include <thread>
 #include <vector>
 
-#include "core/entry_status.h"
+#include "core/entry/entry_status.h"
 #include "entry/configuration_book.h"
-#include "platform/configuration_store.h"
-#include "platform/entry_registry.h"
 #include "protocol/peer_senders.h"
+#include "store/configuration_store.h"
+#include "store/entry_registry.h"
 
 namespace quetzalvale {
 
--- a/src/entry/status_json.h
+++ b/src/entry/status_json.h
@@ -5,7 +5,7 @@
 
 #include <string>
 
-#include "core/entry_status.h"
+#include "core/entry/entry_status.h"
 
 namespace quetzalvale {
 
--- a/src/standin/endpoint_worker.h
+++ b/src/standin/endpoint_worker.h
@@ -13,8 +13,8 @@
 #include <utility>
 #include <vector>
 
+#include "core/policy/worker_resources.h"
 #include "core/types.h"
-#include "core/worker_resources.h"
 #include "http/http_messages.h"
 #include "standin/endpoint_control.h"
 #include "standin/endpoint_journal.h"
--- a/src/standin/platform_store.h
+++ b/src/standin/platform_store.h
@@ -13,7 +13,7 @@
 #include <variant>
 #include <vector>
 
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/configuration_store.cc
+++ b/src/store/configuration_store.cc
@@ -1,13 +1,13 @@
-#include "platform/configuration_store.h"
+#include "store/configuration_store.h"
 
 #include <xxhash.h>
 
 #include <cstdio>
 #include <utility>
 
-#include "platform/retry.h"
 #include "protocol/codec.h"
 #include "runtime/log.h"
+#include "store/retry.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/platform/configuration_store.h
+++ b/src/store/configuration_store.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "core/entry_guards.h"
+#include "core/entry/entry_guards.h"
 #include "core/result.h"
-#include "platform/table_client.h"
 #include "runtime/clock.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/entry_registry.cc
+++ b/src/store/entry_registry.cc
@@ -1,4 +1,4 @@
-#include "platform/entry_registry.h"
+#include "store/entry_registry.h"
 
 #include <utility>
 
--- a/src/platform/entry_registry.h
+++ b/src/store/entry_registry.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "core/messages.h"
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/http_object_client.cc
+++ b/src/store/http_object_client.cc
@@ -1,8 +1,8 @@
-#include "platform/http_object_client.h"
+#include "store/http_object_client.h"
 
 #include <utility>
 
-#include "platform/platform_reply.h"
+#include "store/platform_reply.h"
 
 namespace quetzalvale {
 
--- a/src/platform/http_object_client.h
+++ b/src/store/http_object_client.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "http/http_client.h"
-#include "platform/object_client.h"
+#include "store/object_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/http_table_client.cc
+++ b/src/store/http_table_client.cc
@@ -1,9 +1,9 @@
-#include "platform/http_table_client.h"
+#include "store/http_table_client.h"
 
 #include <utility>
 
-#include "platform/platform_reply.h"
 #include "protocol/codec.h"
+#include "store/platform_reply.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/platform/http_table_client.h
+++ b/src/store/http_table_client.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "http/http_client.h"
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/key_registry.cc
+++ b/src/store/key_registry.cc
@@ -1,9 +1,9 @@
-#include "platform/key_registry.h"
+#include "store/key_registry.h"
 
 #include <utility>
 
-#include "platform/retry.h"
 #include "runtime/log.h"
+#include "store/retry.h"
 
 namespace quetzalvale {
 namespace {
--- a/src/platform/key_registry.h
+++ b/src/store/key_registry.h
@@ -6,10 +6,10 @@
 #include <optional>
 #include <string>
 
-#include "core/entry_guards.h"
+#include "core/entry/entry_guards.h"
 #include "core/result.h"
 #include "core/types.h"
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/object_client.cc
+++ b/src/store/object_client.cc
@@ -1,6 +1,6 @@
-#include "platform/object_client.h"
+#include "store/object_client.h"
 
-#include "platform/await.h"
+#include "store/await.h"
 
 namespace quetzalvale {
 
--- a/src/platform/platform_reply.cc
+++ b/src/store/platform_reply.cc
@@ -1,4 +1,4 @@
-#include "platform/platform_reply.h"
+#include "store/platform_reply.h"
 
 #include "protocol/codec.h"
 
--- a/src/platform/platform_reply.h
+++ b/src/store/platform_reply.h
@@ -4,7 +4,7 @@
 #include <json/value.h>
 
 #include "http/http_client.h"
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- a/src/platform/table_client.cc
+++ b/src/store/table_client.cc
@@ -1,6 +1,6 @@
-#include "platform/table_client.h"
+#include "store/table_client.h"
 
-#include "platform/await.h"
+#include "store/await.h"
 
 namespace quetzalvale {
 
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -1,4 +1,4 @@
-#include "core/agent_core.h"
+#include "core/agent/agent_core.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/agent/agent_fixture.h
+++ b/tests/agent/agent_fixture.h
@@ -6,7 +6,7 @@
 #include <variant>
 #include <vector>
 
-#include "core/agent_core.h"
+#include "core/agent/agent_core.h"
 
 namespace quetzalvale {
 
--- a/tests/agent/agent_property_test.cc
+++ b/tests/agent/agent_property_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <utility>
 
-#include "core/agent_core.h"
+#include "core/agent/agent_core.h"
 #include "tests/agent/agent_fixture.h"
 
 namespace quetzalvale {
--- a/tests/agent/channel_window_test.cc
+++ b/tests/agent/channel_window_test.cc
@@ -1,8 +1,8 @@
-#include "core/channel_window.h"
+#include "core/agent/channel_window.h"
 
 #include <gtest/gtest.h>
 
-#include "core/channel_table.h"
+#include "core/agent/channel_table.h"
 
 namespace quetzalvale {
 namespace {
--- a/tests/agent/senders_test.cc
+++ b/tests/agent/senders_test.cc
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "core/announcer.h"
-#include "core/endpoint_watch.h"
-#include "core/lease_keeper.h"
-#include "core/outcome_sender.h"
+#include "core/agent/announcer.h"
+#include "core/agent/endpoint_watch.h"
+#include "core/agent/lease_keeper.h"
+#include "core/agent/outcome_sender.h"
 #include "tests/agent/agent_fixture.h"
 
 namespace quetzalvale {
--- a/tests/agent/task_store_test.cc
+++ b/tests/agent/task_store_test.cc
@@ -1,4 +1,4 @@
-#include "core/task_store.h"
+#include "core/agent/task_store.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/agent/ticket_memory_test.cc
+++ b/tests/agent/ticket_memory_test.cc
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "core/sealed_tickets.h"
-#include "core/started_tickets.h"
+#include "core/agent/sealed_tickets.h"
+#include "core/agent/started_tickets.h"
 #include "tests/agent/agent_fixture.h"
 
 namespace quetzalvale {
--- a/tests/core/agent_directory_test.cc
+++ b/tests/core/agent_directory_test.cc
@@ -1,4 +1,4 @@
-#include "core/agent_directory.h"
+#include "core/entry/agent_directory.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -1,4 +1,4 @@
-#include "core/entry_core.h"
+#include "core/entry/entry_core.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/entry_resources_test.cc
+++ b/tests/core/entry_resources_test.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "core/entry_core.h"
+#include "core/entry/entry_core.h"
 
 namespace quetzalvale {
 namespace {
--- a/tests/core/peer_table_test.cc
+++ b/tests/core/peer_table_test.cc
@@ -1,11 +1,11 @@
-#include "core/peer_table.h"
+#include "core/entry/peer_table.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
-#include "core/answer_outbox.h"
-#include "core/forward_table.h"
+#include "core/entry/answer_outbox.h"
+#include "core/entry/forward_table.h"
 
 namespace quetzalvale {
 namespace {
--- a/tests/core/roster_property_test.cc
+++ b/tests/core/roster_property_test.cc
@@ -3,7 +3,7 @@
 #include <set>
 #include <utility>
 
-#include "core/entry_core.h"
+#include "core/entry/entry_core.h"
 
 namespace quetzalvale {
 namespace {
--- a/tests/core/salvage_test.cc
+++ b/tests/core/salvage_test.cc
@@ -1,4 +1,4 @@
-#include "core/salvage.h"
+#include "core/entry/salvage.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/core/simulation.h
+++ b/tests/core/simulation.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "core/agent_core.h"
-#include "core/entry_core.h"
+#include "core/agent/agent_core.h"
+#include "core/entry/entry_core.h"
 
 namespace quetzalvale {
 
--- a/tests/core/start_tables_test.cc
+++ b/tests/core/start_tables_test.cc
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "core/job_table.h"
-#include "core/start_batcher.h"
-#include "core/withdraw_queue.h"
+#include "core/entry/job_table.h"
+#include "core/entry/start_batcher.h"
+#include "core/entry/withdraw_queue.h"
 
 namespace quetzalvale {
 namespace {
--- a/tests/core/ticket_ledger_test.cc
+++ b/tests/core/ticket_ledger_test.cc
@@ -1,4 +1,4 @@
-#include "core/ticket_ledger.h"
+#include "core/entry/ticket_ledger.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
--- a/tests/platform/libraries.cmake
+++ /dev/null
@@ -1,1 +0,0 @@
-target_link_libraries(platform_test PRIVATE quetzalvale_standin_platform)
--- a/tests/policy/placement_test.cc
+++ b/tests/policy/placement_test.cc
@@ -1,4 +1,4 @@
-#include "core/placement.h"
+#include "core/policy/placement.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/policy/quota_property_test.cc
+++ b/tests/policy/quota_property_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "core/quota_table.h"
+#include "core/policy/quota_table.h"
 
 namespace quetzalvale {
 namespace {
--- a/tests/policy/quota_table_test.cc
+++ b/tests/policy/quota_table_test.cc
@@ -1,4 +1,4 @@
-#include "core/quota_table.h"
+#include "core/policy/quota_table.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/policy/retry_budget_test.cc
+++ b/tests/policy/retry_budget_test.cc
@@ -1,4 +1,4 @@
-#include "core/retry_budget.h"
+#include "core/policy/retry_budget.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/platform/faulty_table.h
+++ b/tests/store/faulty_table.h
@@ -4,8 +4,8 @@
 #include <deque>
 #include <mutex>
 
-#include "platform/table_client.h"
 #include "standin/platform_store.h"
+#include "store/table_client.h"
 
 namespace quetzalvale {
 
--- /dev/null
+++ b/tests/store/libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(store_test PRIVATE quetzalvale_standin_platform)
--- a/tests/platform/platform_http_test.cc
+++ b/tests/store/platform_http_test.cc
@@ -2,11 +2,11 @@
 
 #include <thread>
 
-#include "platform/configuration_store.h"
-#include "platform/http_object_client.h"
-#include "platform/http_table_client.h"
 #include "protocol/codec.h"
 #include "standin/platform_server.h"
+#include "store/configuration_store.h"
+#include "store/http_object_client.h"
+#include "store/http_table_client.h"
 #include "tests/support/loopback_address.h"
 
 namespace quetzalvale {
--- a/tests/platform/registries_test.cc
+++ b/tests/store/registries_test.cc
@@ -2,10 +2,10 @@
 
 #include <thread>
 
-#include "platform/configuration_store.h"
-#include "platform/entry_registry.h"
-#include "platform/key_registry.h"
-#include "tests/platform/faulty_table.h"
+#include "store/configuration_store.h"
+#include "store/entry_registry.h"
+#include "store/key_registry.h"
+#include "tests/store/faulty_table.h"
 
 namespace quetzalvale {
 namespace {
