--- a/src/agent/action_runner.h
+++ b/src/agent/action_runner.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "agent/agent_thread.h"
-#include "agent/endpoint_client.h"
+#include "agent/endpoint.h"
 #include "agent/inner_api.h"
 #include "core/agent/agent_events.h"
 #include "protocol/peer_senders.h"
@@ -19,7 +19,7 @@
   struct Parts {
     std::string service;
     AgentThread& thread;
-    EndpointClient& endpoint;
+    Endpoint& endpoint;
     InnerApi& inner;
     PeerSenders& senders;
     Metrics& metrics;
--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "agent/endpoint_client.h"
 #include "runtime/entropy.h"
 #include "runtime/log.h"
 #include "runtime/process_usage.h"
@@ -30,6 +31,14 @@
 
 AgentProcess::AgentProcess(ProcessSettings settings, std::function<void()> leave_requested,
                            AgentGuards guards)
+    : AgentProcess(settings, std::move(leave_requested), std::move(guards),
+                   [this, url = settings.endpoint](Endpoint::Report report) {
+                     return std::make_unique<EndpointClient>(url, this->identity.worker.connections,
+                                                             this->metrics, std::move(report));
+                   }) {}
+
+AgentProcess::AgentProcess(ProcessSettings settings, std::function<void()> leave_requested,
+                           AgentGuards guards, const MakeEndpoint& make_endpoint)
     : settings(std::move(settings)),
       leave_requested(std::move(leave_requested)),
       identity(MakeIdentity(this->settings)),
@@ -39,10 +48,10 @@
              [this](const AgentAction& action) { this->runner->Run(action); }),
       inner(this->thread, this->leave_requested),
       rpc(this->settings.inner_address, this->settings.shared_key, kRpcThreads),
-      endpoint(this->settings.endpoint, this->identity.worker.connections, this->metrics,
-               [this](AgentEvent event) { this->thread.PostResult(std::move(event)); }) {
+      endpoint(
+          make_endpoint([this](AgentEvent event) { this->thread.PostResult(std::move(event)); })) {
   this->runner = std::make_unique<ActionRunner>(
-      ActionRunner::Parts{this->identity.service, this->thread, this->endpoint, this->inner,
+      ActionRunner::Parts{this->identity.service, this->thread, *this->endpoint, this->inner,
                           this->senders, this->metrics, [this] { this->departed.set_value(); }});
 }
 
@@ -115,6 +124,10 @@
   return text;
 }
 
+void AgentProcess::LearnEntry(const std::string& address) {
+  this->thread.PostResult(EntryLearned{address});
+}
+
 void AgentProcess::Leave() {
   this->thread.PostResult(LeaveRequested{});
   this->departed.get_future().wait();
--- a/src/agent/agent_process.h
+++ b/src/agent/agent_process.h
@@ -9,7 +9,7 @@
 
 #include "agent/action_runner.h"
 #include "agent/agent_thread.h"
-#include "agent/endpoint_client.h"
+#include "agent/endpoint.h"
 #include "agent/inner_api.h"
 #include "core/agent/agent_core.h"
 #include "http/http_server.h"
@@ -27,6 +27,9 @@
   /// `guards` are replaced by tests only.
   AgentProcess(ProcessSettings settings, std::function<void()> leave_requested,
                AgentGuards guards = {});
+  /// For endpoints that are not reached by EndpointClient.
+  AgentProcess(ProcessSettings settings, std::function<void()> leave_requested, AgentGuards guards,
+               const MakeEndpoint& make_endpoint);
   ~AgentProcess();
   AgentProcess(const AgentProcess&) = delete;
   AgentProcess& operator=(const AgentProcess&) = delete;
@@ -34,6 +37,9 @@
   /// Returns an empty text, or why the agent cannot start.
   std::string Start();
 
+  /// Announces the agent to the entry at this inner address as well. Thread-safe.
+  void LearnEntry(const std::string& address);
+
   /// Departs gracefully: returns when tasks are finished and outcomes delivered.
   void Leave();
 
@@ -55,7 +61,7 @@
   AgentThread thread;
   InnerApi inner;
   RpcServer rpc;
-  EndpointClient endpoint;
+  std::unique_ptr<Endpoint> endpoint;
   std::unique_ptr<HttpServer> http;
 };
 
--- a/src/agent/endpoint_client.h
+++ b/src/agent/endpoint_client.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "core/agent/agent_events.h"
+#include "agent/endpoint.h"
 #include "http/http_client.h"
 #include "runtime/metrics.h"
 
@@ -19,32 +19,29 @@
 /// connection of its own that is never used again, so that it is sent exactly once. Control
 /// requests may be repeated safely; they share one kept-alive connection and go one at a time.
 /// Thread-safe.
-class EndpointClient {
+class EndpointClient : public Endpoint {
  public:
-  /// Receives EndpointFinished, EndpointRefused, EndpointChecked and UsageReported on a thread of
-  /// the HTTP library, or on the calling thread when nothing was sent.
-  using Report = std::function<void(AgentEvent)>;
-
   /// Returns the client for one task request. A test can share one client to show the fault that
   /// separate clients prevent.
   using MakeTaskClient = std::function<std::shared_ptr<HttpClient>()>;
 
   /// At most `connections` tasks are open at a time; more are reported as refused. `metrics` must
   /// outlive the client.
+  /// `report` is called on a thread of the HTTP library, or on the calling thread when nothing was
+  /// sent.
   EndpointClient(const std::string& url, int connections, Metrics& metrics, Report report);
   EndpointClient(const std::string& url, int connections, Metrics& metrics, Report report,
                  MakeTaskClient make_task_client);
   /// Results that arrive after the destruction are dropped.
-  ~EndpointClient();
+  ~EndpointClient() override;
   EndpointClient(const EndpointClient&) = delete;
   EndpointClient& operator=(const EndpointClient&) = delete;
 
-  void Start(const StartOnEndpoint& start);
-  void Stop(const TaskKey& task);
-  void Renew(const std::vector<TaskKey>& tasks, Milliseconds lease);
-  void Check();
-  /// Asks what the endpoint's tasks use. No answer says nothing about whether the endpoint is up.
-  void PollUsage();
+  void Start(const StartOnEndpoint& start) override;
+  void Stop(const TaskKey& task) override;
+  void Renew(const std::vector<TaskKey>& tasks, Milliseconds lease) override;
+  void Check() override;
+  void PollUsage() override;
 
  private:
   struct State;
--- a/src/core/agent/agent_core.cc
+++ b/src/core/agent/agent_core.cc
@@ -38,6 +38,7 @@
   this->ReleaseHeld();
   std::visit([this](const auto& concrete) { this->On(concrete); }, event);
   this->EndExpired();
+  this->EndAttempts();
   this->FillSlots();
   this->RenewDueLeases();
   this->CheckEndpointIfDue();
@@ -53,6 +54,7 @@
 
 AgentLoad AgentCore::Load() const {
   AgentLoad load;
+  load.clock = std::chrono::duration_cast<Microseconds>(this->now.time_since_epoch());
   if (!this->leaving && this->endpoint.IsUp()) {
     const Resources free = this->FreeForNewTasks();
     const WorkerCapacity& worker = this->identity.worker;
--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -14,6 +14,7 @@
 #include "core/agent/agent_events.h"
 #include "core/agent/agent_guards.h"
 #include "core/agent/announcer.h"
+#include "core/agent/attempt_limits.h"
 #include "core/agent/channel_table.h"
 #include "core/agent/endpoint_watch.h"
 #include "core/agent/lease_keeper.h"
@@ -76,6 +77,7 @@
   void On(const OutcomesReplied& event);
   void On(const AnnounceReplied& event);
   void On(const NoticeReceived& event);
+  void On(const EntryLearned& event);
   void On(const AgentConfigurationChanged& event);
   void On(const LeaveRequested& event);
   void On(const Tick& event);
@@ -98,6 +100,10 @@
 
   void NoteGap();
   void EndExpired();
+  /// Ends the runs of repeatable jobs that their owners may have given up.
+  void EndAttempts();
+  /// Whether a repeatable task of the request came so late that its owner has given it up.
+  bool IsLate(const StartRequest& request) const;
   /// Hands over what may start, oldest first.
   void FillSlots();
   /// Whether a task behind `ahead` may start now: a slot and all that it declares are free, and it
@@ -138,6 +144,7 @@
   std::multimap<Time, Resources> held;
   Time next_usage_poll{};
   LeaseKeeper leases;
+  AttemptLimits attempts;
   OutcomeSender outcomes;
   Announcer announcer;
   EndpointWatch endpoint;
--- a/src/core/agent/agent_core_endpoint.cc
+++ b/src/core/agent/agent_core_endpoint.cc
@@ -64,6 +64,7 @@
 
 void AgentCore::EndRunning(const TaskKey& task, Outcome outcome, bool refused) {
   this->leases.Remove(task);
+  this->attempts.Remove(task);
   this->resources.Give(this->store.Find(task)->declared);
   this->store.Finish(task, std::move(outcome), refused);
   this->Deliver(task);
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -27,6 +27,7 @@
     return;
   }
   const auto& reply = std::get<AnnounceReply>(event.reply);
+  this->attempts.Heard(reply.entry.incarnation, this->now);
   this->announcer.Answered(event.address, reply, this->now);
   this->NoteVersion(reply.configuration_version, event.address);
 }
@@ -34,12 +35,15 @@
 void AgentCore::On(const NoticeReceived& event) {
   const AnnounceReply& notice = event.message;
   this->announcer.Noticed(notice, this->now);
+  this->attempts.Heard(notice.entry.incarnation, this->now);
   this->announcer.NoteTraffic(notice.entry.address, this->now);
   this->actions.emplace_back(
       ReplyNotice{event.request, this->MakeHeartbeat(notice.entries_digest)});
   this->NoteVersion(notice.configuration_version, notice.entry.address);
 }
 
+void AgentCore::On(const EntryLearned& event) { this->announcer.Learn(event.address, this->now); }
+
 bool AgentCore::HoldsTasksOf(const std::string& address) const {
   return this->outcomes.AnyOwnerAt(address, [this](const Incarnation& owner) {
     return this->store.HasUnfinished(owner) || this->outcomes.HasPending(owner);
--- a/src/core/agent/agent_core_outcomes.cc
+++ b/src/core/agent/agent_core_outcomes.cc
@@ -7,6 +7,7 @@
 namespace quetzalvale {
 
 void AgentCore::FinishNotRun(const TaskKey& task, std::string_view reason) {
+  this->attempts.Remove(task);
   this->store.Finish(task, FailedOutcome(task, reason));
   this->Deliver(task);
 }
@@ -32,6 +33,7 @@
   const std::string address = this->outcomes.AddressOf(event.owner);
   if (reply.owner == event.owner) {
     this->outcomes.Acknowledged(event.owner, event.tasks, this->now);
+    this->attempts.Heard(event.owner, this->now);
     this->Release(event.tasks);
     this->announcer.NoteTraffic(address, this->now);
   } else {
--- a/src/core/agent/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -29,6 +29,9 @@
         "owner=" + message.owner.Text() + " sequence=" + std::to_string(message.channel_sequence));
   } else {
     this->outcomes.HeardFrom(message.owner, message.owner_address, this->now);
+    if (!this->IsLate(message)) {
+      this->attempts.Heard(message.owner, this->now);
+    }
     for (const auto& item : message.items) {
       reply.decisions.push_back(this->Decide(message, item, &reply));
       // Whether the next task is refused as busy depends on what this one takes.
@@ -85,7 +88,8 @@
   if (this->guards.is_sealed(this->sealed, item.task.ticket)) {
     return StartRefusal::kSealed;
   }
-  if (!this->guards.has_time_left(this->now, this->now + item.time_left)) {
+  if (!this->guards.has_time_left(this->now, this->now + item.time_left) ||
+      (item.repeatable && this->IsLate(request))) {
     return StartRefusal::kExpired;
   }
   if (!this->endpoint.IsUp()) {
@@ -102,10 +106,19 @@
   record.payload = item.spec.payload;
   record.lease = request.lease > Milliseconds(0) ? request.lease : this->configuration->lease;
   record.deadline = this->now + item.time_left;
+  record.repeatable = item.repeatable;
+  record.attempt = item.attempt;
+  if (item.repeatable) {
+    this->attempts.Add(item.task, record.deadline);
+  }
   this->store.Add(item.task, std::move(record));
   return StartRefusal::kNone;
 }
 
+bool AgentCore::IsLate(const StartRequest& request) const {
+  return request.accept_until.count() > 0 && this->now.time_since_epoch() >= request.accept_until;
+}
+
 bool AgentCore::IsBusy(const Resources& task) const {
   if (!this->resources.EverFits(task)) {
     return true;
@@ -122,6 +135,22 @@
   }
 }
 
+void AgentCore::EndAttempts() {
+  for (const auto& task : this->attempts.TakeDue(this->now)) {
+    const TaskRecord* record = this->store.Find(task);
+    if (record == nullptr || record->state == TaskState::kFinished) {
+      this->attempts.Remove(task);
+    } else if (record->state == TaskState::kQueued) {
+      this->FinishNotRun(task, kExpired);
+    } else {
+      this->LogLine(2025, "attempt_ended",
+                    "task=" + task.Text() + " owner=" + task.ticket.owner.Text() +
+                        " past_deadline=" + (this->now >= record->deadline ? "true" : "false"));
+      this->actions.emplace_back(StopOnEndpoint{task});
+    }
+  }
+}
+
 void AgentCore::FillSlots() {
   if (!this->endpoint.IsUp()) {
     return;
@@ -178,6 +207,7 @@
   const TaskRecord& record = *this->store.Find(task);
   start.kind = record.kind;
   start.lease = record.lease;
+  start.attempt = record.attempt;
   start.time_left = std::chrono::duration_cast<Milliseconds>(record.deadline - this->now);
   this->leases.Add(task, record.lease, this->now);
   this->actions.emplace_back(std::move(start));
--- a/src/core/agent/agent_core_withdrawal.cc
+++ b/src/core/agent/agent_core_withdrawal.cc
@@ -12,6 +12,7 @@
   reply.agent = this->identity.incarnation;
   if (this->guards.same_incarnation(this->identity.incarnation, message.agent)) {
     this->outcomes.HeardFrom(message.owner, std::string(), this->now);
+    this->attempts.Heard(message.owner, this->now);
     for (const auto& item : message.items) {
       reply.reports.push_back(this->Withdraw(message, item));
     }
@@ -32,6 +33,7 @@
   // A delayed duplicate of an earlier withdrawal must not take back a later start.
   const bool stale = item.channel_sequence < record->channel_sequence;
   if (record->state == TaskState::kQueued && !stale) {
+    this->attempts.Remove(item.task);
     this->store.RemoveQueued(item.task);
   } else if (record->state == TaskState::kRunning && request.stop_running && !stale) {
     this->actions.emplace_back(StopOnEndpoint{item.task});
--- a/src/core/agent/agent_events.h
+++ b/src/core/agent/agent_events.h
@@ -68,6 +68,10 @@
   std::string address;
   Result<AnnounceReply> reply;
 };
+/// An entry's inner address became known.
+struct EntryLearned {
+  std::string address;
+};
 /// The agent fetched this version of its service's configuration.
 struct AgentConfigurationChanged {
   std::shared_ptr<const ServiceConfiguration> configuration;
@@ -76,7 +80,7 @@
 using AgentEvent =
     std::variant<StartReceived, WithdrawReceived, SealReceived, EndpointFinished, EndpointRefused,
                  EndpointChecked, UsageReported, OutcomesReplied, AnnounceReplied, NoticeReceived,
-                 AgentConfigurationChanged, LeaveRequested, Tick>;
+                 EntryLearned, AgentConfigurationChanged, LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
@@ -101,6 +105,8 @@
   Milliseconds time_left{0};
   /// One slot and what the task declares.
   Resources declared{};
+  /// Number of the start, from 1.
+  std::uint32_t attempt = 1;
 };
 struct StopOnEndpoint {
   TaskKey task;
--- /dev/null
+++ b/src/core/agent/attempt_limits.h
@@ -0,0 +1,52 @@
+/// Ends runs whose owner or caller may have given them up.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "core/types.h"
+
+namespace quetzalvale {
+
+/// Bounds the life of the runs of repeatable jobs. A caller whose connection broke submits its job
+/// again after a known pause, to any entry, so nothing of the first submission may run by then. Its
+/// owner stops the tasks when it is alive; this class names those that must end because the owner
+/// has not been heard from or the job's deadline has passed. Not thread-safe.
+class AttemptLimits {
+ public:
+  /// Time without a word from the owner after which its runs end. Together with the time that a
+  /// stop takes it is well below the 1,300 ms after which callers submit again, and it outlasts two
+  /// heartbeats.
+  static constexpr Milliseconds kOwnerLease{700};
+  /// A stop that has had no effect is repeated after this pause.
+  static constexpr Milliseconds kRepeat{200};
+
+  /// Notes a sign of life from an owner.
+  void Heard(const Incarnation& owner, Time now);
+
+  /// Watches a task from its acceptance. Precondition: its owner was heard.
+  void Add(const TaskKey& task, Time deadline);
+  void Remove(const TaskKey& task);
+
+  /// Returns the tasks that must end now. A task comes again until it is removed.
+  std::vector<TaskKey> TakeDue(Time now);
+
+  std::size_t Size() const { return this->tasks.size(); }
+
+ private:
+  struct Watched {
+    Time deadline{};
+    Time next_stop{};
+  };
+
+  bool MustEnd(const TaskKey& task, const Watched& watched, Time now) const;
+  /// Forgets owners without tasks that have been silent for long.
+  void ForgetOwners(Time now);
+
+  std::map<TaskKey, Watched> tasks;
+  std::map<Incarnation, Time> heard;
+  Time next_forget{};
+};
+
+}  // namespace quetzalvale
--- a/src/core/agent/outcome_reasons.h
+++ b/src/core/agent/outcome_reasons.h
@@ -13,6 +13,14 @@
 // Reasons of tasks that may have run.
 inline constexpr std::string_view kEndpointLost = "endpoint_lost";
 inline constexpr std::string_view kOutcomeUnknown = "outcome_unknown";
+/// The run was stopped or its lease lapsed: it has ended, and neither task nor endpoint is to
+/// blame.
+inline constexpr std::string_view kInterrupted = "interrupted";
+
+/// Whether the run ended for a reason that says nothing against the task.
+inline bool IsInterruption(std::string_view reason) {
+  return reason == kInterrupted || reason == kEndpointLost;
+}
 
 inline bool ProvesNotRun(std::string_view reason) {
   return reason == kNotRun || reason == kExpired;
--- a/src/core/agent/task_store.h
+++ b/src/core/agent/task_store.h
@@ -32,6 +32,9 @@
   Milliseconds lease{0};
   /// End of the time left; the task is not handed over from then on.
   Time deadline{};
+  /// See StartItem.
+  bool repeatable = false;
+  std::uint32_t attempt = 1;
   /// The task was given to the endpoint, so it may have run.
   bool handed_over = false;
   /// The endpoint proved that it did not start the task.
--- a/src/core/entry/entry_core.cc
+++ b/src/core/entry/entry_core.cc
@@ -14,6 +14,10 @@
 constexpr Milliseconds kSweepInterval{5};
 constexpr std::chrono::seconds kExpiryInterval{1};
 
+/// Copies of a repeatable job's submission arrive up to a few seconds after its answer.
+constexpr std::size_t kNamedAnswers = 4096;
+constexpr std::chrono::seconds kNamedAnswerAge{15};
+
 }  // namespace
 
 EntryCore::EntryCore(EntryInfo self_info, std::vector<std::string> service_names,
@@ -24,6 +28,7 @@
       random(seed),
       directory(this->self.incarnation),
       peers(this->self, seed_addresses) {
+  this->named_answers.SetLimits(kNamedAnswers, kNamedAnswerAge);
   for (const std::string& name : service_names) {
     this->services.try_emplace(name, name, this->self.incarnation);
   }
@@ -78,6 +83,7 @@
   this->SweepQuotas();
   this->directory.Expire(kept, this->now);
   this->salvaged.Expire(this->now);
+  this->named_answers.Expire(this->now);
   this->ExpireAdopted(kept);
 }
 
@@ -107,9 +113,13 @@
 }
 
 void EntryCore::On(const ConfigurationChanged& event) {
+  if (!event.configuration) {
+    return;
+  }
+  const std::string& name = event.configuration->service;
   ServiceState* service =
-      event.configuration ? this->FindService(event.configuration->service) : nullptr;
-  if (service == nullptr || !service->Apply(event.configuration)) {
+      &this->services.try_emplace(name, name, this->self.incarnation).first->second;
+  if (!service->Apply(event.configuration)) {
     return;
   }
   this->directory.Bind(service->name, service->configuration->endpoints);
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -45,6 +45,8 @@
 
  private:
   using TicketAnswers = AnswerStore<Ticket>;
+  /// By service and name, joined by a slash.
+  using NamedAnswers = AnswerStore<std::string>;
 
   /// Why a submission is refused.
   struct Refusal {
@@ -123,6 +125,7 @@
   void On(const JobQueried& event);
   void On(const JobCancelled& event);
   void On(const KeyClaimed& event);
+  void On(const CallerGone& event);
   void On(const AgentAnnounced& event);
   void On(const HeartbeatReceived& event);
   void On(const NoticeReplied& event);
@@ -160,6 +163,7 @@
   void Submit(const Waiter& waiter, const Submission& submission);
   void SubmitOwn(ServiceState& service, const Waiter& waiter, const Submission& submission);
   void SubmitUnused(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  void SubmitNamed(ServiceState& service, const Waiter& waiter, const Submission& submission);
   void ClaimKeyFor(ServiceState& service, const Waiter& waiter, const Submission& submission);
   std::optional<Refusal> CheckSubmission(ServiceState& service, const Submission& submission);
   LoadView Load(const ServiceState& service, const Submission& submission) const;
@@ -178,6 +182,8 @@
   /// Answers the job if its answer is known. The job may be gone afterwards.
   void TryAnswer(Job& job);
   void AnswerJob(Job& job, Answer answer);
+  /// Logs the answer with what decided its time: the task that ended last.
+  void LogAnswer(const Job& job, const Answer& answer);
   void EndTask(Job& job, std::uint32_t index, JobTaskState state);
   void EraseIfEnded(std::uint64_t job);
   void OnJobDue(std::uint64_t id);
@@ -220,6 +226,11 @@
   /// Whether a start of the task would find everything that it declares free.
   bool HasRoomFor(const TaskRef& task, const Agent& agent);
   void ProvenNotRun(const TaskRef& task);
+  /// Whether the ended run of a repeatable job's task may be followed by another one. `reason` is
+  /// empty when the agent was lost.
+  bool MayRunAgain(const Job& job, const Task& task, std::string_view reason) const;
+  /// Queues a task whose run has ended for another one.
+  void RunAgain(Job& job, std::uint32_t index);
   void Withdraw(const TaskRef& task, bool stop_running);
   void ApplyOutcome(const Incarnation& agent, const Outcome& outcome);
   void ApplyReport(const WithdrawReplied& event, const TaskReport& report);
@@ -319,6 +330,8 @@
   AnswerOutbox outbox;
   std::map<Ticket, SalvagedJob> salvages;
   TicketAnswers salvaged;
+  /// Of repeatable jobs, for copies of the submission that arrive late.
+  NamedAnswers named_answers;
   std::map<std::pair<Incarnation, std::string>, AdoptedLedger> adopted;
 
   Departure departure;
--- a/src/core/entry/entry_core_agents.cc
+++ b/src/core/entry/entry_core_agents.cc
@@ -116,6 +116,11 @@
       task.state = JobTaskState::kWaiting;
       task.agent = {};
       QueueTask(service, job, ref.index);
+    } else if (this->MayRunAgain(job, task, {})) {
+      // The agent was replaced, or it and its worker's leases have been silent for so long that
+      // every run there has ended.
+      task.failed_on.push_back(incarnation);
+      this->RunAgain(job, ref.index);
     } else {
       this->EndTask(job, ref.index, JobTaskState::kUnknown);
       lost_jobs.insert(ref.job);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -11,6 +11,18 @@
 /// How long a failed job waits for the proof that nothing of it ran.
 constexpr Milliseconds kProofWait{500};
 
+const char* StatusText(AnswerStatus status) {
+  switch (status) {
+    case AnswerStatus::kComplete:
+      return "complete";
+    case AnswerStatus::kFailed:
+      return "failed";
+    case AnswerStatus::kRefused:
+      break;
+  }
+  return "refused";
+}
+
 }  // namespace
 
 void EntryCore::Count(const Answer& answer) {
@@ -114,7 +126,9 @@
     return;
   }
   Answer answer;
-  answer.ticket = job.ticket;
+  if (!job.IsRepeatable()) {
+    answer.ticket = job.ticket;
+  }
   if (!job.failure) {
     if (!this->guards.all_outcomes(job.done, job.tasks.size())) {
       return;
@@ -133,7 +147,7 @@
            task.state == JobTaskState::kUnknown;
   };
   const bool any_ran = std::ranges::any_of(job.tasks, ran);
-  if (!any_ran && job.open > 0 && this->now < job.failure->until) {
+  if (!any_ran && job.open > 0 && !job.IsRepeatable() && this->now < job.failure->until) {
     return;
   }
   answer.status = AnswerStatus::kFailed;
@@ -148,10 +162,45 @@
   this->AnswerJob(job, std::move(answer));
 }
 
+void EntryCore::LogAnswer(const Job& job, const Answer& answer) {
+  const auto millis = [](Time::duration time) {
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(time).count());
+  };
+  const auto last = std::ranges::max_element(job.tasks, {}, &Task::ended_at);
+  std::uint32_t refusals = 0;
+  std::uint32_t failures = 0;
+  for (const Task& task : job.tasks) {
+    refusals += task.refusals;
+    failures += task.failures;
+  }
+  std::string line = "job=" + (job.IsRepeatable() ? job.name : job.ticket.Text()) +
+                     " kind=" + job.kind + " status=" + StatusText(answer.status) +
+                     " reason=" + (answer.reason.empty() ? "none" : answer.reason) +
+                     " tasks=" + std::to_string(job.tasks.size()) +
+                     " total_ms=" + millis(this->now - job.submitted) +
+                     " deadline_left_ms=" + millis(job.deadline - this->now) +
+                     " refused_starts=" + std::to_string(refusals) +
+                     " failed_runs=" + std::to_string(failures);
+  if (last != job.tasks.end() && last->ended_at != Time{}) {
+    const Agent* agent = this->directory.Find(last->agent);
+    line += " last_task=" + std::to_string(last - job.tasks.begin()) +
+            " agent=" + (agent == nullptr ? "gone" : agent->announce.name) +
+            " waited_ms=" + millis(last->sent_at - job.submitted) +
+            " away_ms=" + millis(last->ended_at - last->sent_at) +
+            " run_ms=" + millis(last->run_time) + " expected_ms=" + millis(last->expected);
+  }
+  this->Log(1010, "job_answered", std::move(line));
+}
+
 void EntryCore::AnswerJob(Job& job, Answer answer) {
   this->Count(answer);
+  this->LogAnswer(job, answer);
   ServiceState& service = *this->FindService(job.ticket.service);
-  service.ledger.KeepAnswer(job.ticket.sequence, job.body_hash, answer, this->now);
+  if (!job.IsRepeatable()) {
+    service.ledger.KeepAnswer(job.ticket.sequence, job.body_hash, answer, this->now);
+  } else if (answer.status == AnswerStatus::kComplete || answer.reason == "task_failed") {
+    this->named_answers.Keep(service.name + "/" + job.name, job.body_hash, answer, this->now);
+  }
   const std::vector<Waiter> waiters = std::move(job.waiters);
   const std::uint64_t id = job.id;
   this->jobs.MarkAnswered(job);
@@ -180,7 +229,7 @@
   this->FailJob(*job, "deadline",
                 "the job's deadline passed before all tasks ended; submit new work with a longer "
                 "deadline or later",
-                false);
+                job->IsRepeatable());
 }
 
 bool EntryCore::HasPossibleAgent(const Job& job) const {
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "core/agent/outcome_reasons.h"
 #include "core/entry/entry_core.h"
 
 namespace quetzalvale {
@@ -12,9 +13,9 @@
 constexpr Milliseconds kFirstPause{100};
 constexpr Milliseconds kLongestPause{2000};
 
-/// Reasons by which an agent proves that a task it had recorded did not run.
+/// Whether the agent proves that a task it had recorded did not run.
 bool ProvesNotRun(const Outcome& outcome) {
-  return !outcome.ok && (outcome.reason == "not_run" || outcome.reason == "expired");
+  return !outcome.ok && quetzalvale::ProvesNotRun(outcome.reason);
 }
 
 }  // namespace
@@ -152,6 +153,32 @@
   QueueTask(service, job, ref.index);
 }
 
+bool EntryCore::MayRunAgain(const Job& job, const Task& task, std::string_view reason) const {
+  if (!job.IsRepeatable() || job.failure || job.answered || job.deadline <= this->now) {
+    return false;
+  }
+  if (reason.empty() || IsInterruption(reason)) {
+    return true;
+  }
+  const ServiceState& service = *this->FindService(job.ticket.service);
+  const auto* kind = service.configuration->FindKind(job.kind);
+  return kind != nullptr && task.failures < kind->attempts;
+}
+
+void EntryCore::RunAgain(Job& job, std::uint32_t index) {
+  const TaskRef ref{job.id, index};
+  Task& task = job.tasks[index];
+  if (Agent* agent = this->directory.Find(task.agent)) {
+    agent->outstanding.erase(ref);
+    agent->withdrawals.Remove(ref);
+  }
+  task.state = JobTaskState::kWaiting;
+  task.agent = {};
+  task.channel_sequence = 0;
+  task.runs = false;
+  QueueTask(*this->FindService(job.ticket.service), job, index);
+}
+
 void EntryCore::Withdraw(const TaskRef& ref, bool stop_running) {
   const Task& task = this->jobs.Find(ref.job)->tasks[ref.index];
   if (Agent* agent = this->directory.Find(task.agent)) {
@@ -271,11 +298,14 @@
     this->ProvenNotRun({job->id, index});
     return;
   }
+  task.ended_at = this->now;
+  task.run_time = outcome.run_time;
   const Agent* agent = this->directory.Find(incarnation);
   ServiceState& service = *this->FindService(job->ticket.service);
   const bool cancelled = job->failure && job->failure->reason == "cancelled";
   // Tasks that were stopped say nothing about the endpoint.
-  if (agent != nullptr && (outcome.ok || !cancelled)) {
+  const bool stopped = cancelled || outcome.reason == kInterrupted;
+  if (agent != nullptr && (outcome.ok || !stopped)) {
     const std::string& name = agent->announce.name;
     if (service.health.Record(name, outcome.ok, this->now)) {
       this->Log(1003, "agent_ejected", "agent=" + name);
@@ -294,6 +324,14 @@
     this->TryAnswer(*job);
     return;
   }
+  if (!IsInterruption(outcome.reason)) {
+    ++task.failures;
+    task.failed_on.push_back(incarnation);
+  }
+  if (this->MayRunAgain(*job, task, outcome.reason)) {
+    this->RunAgain(*job, index);
+    return;
+  }
   this->EndTask(*job, index, JobTaskState::kFailed);
   const bool unknown = outcome.reason == "outcome_unknown";
   this->FailJob(*job, unknown ? "outcome_unknown" : "task_failed",
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -28,6 +28,11 @@
 /// response time: the tasks of other entries end without a word to this one.
 constexpr int kStalePart = 10;
 
+/// A start is refused by its agent when it arrives later than this after it was decided. Longer
+/// than the wait in a busy peer's ring, and much shorter than the pause before a caller submits
+/// again.
+constexpr Milliseconds kStartPatience{250};
+
 bool Contains(const std::vector<Incarnation>& agents, const Incarnation& agent) {
   return std::ranges::find(agents, agent) != agents.end();
 }
@@ -170,13 +175,17 @@
 EntryCore::Choices EntryCore::ChoicesFor(const ServiceState& service, const Job& job,
                                          const Task& task, std::span<const Usable> usable) const {
   Choices choices;
+  const bool avoid = std::ranges::any_of(usable, [&](const Usable& entry) {
+    return !Contains(task.failed_on, entry.candidate.agent);
+  });
   const Resources declared = DeclaredBy(task.spec);
   const int queue = static_cast<int>(service.configuration->agent_queue);
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const Agent& agent = *usable[i].agent;
     if (agent.first_roster > job.ticket.roster ||
         !CapacityOf(agent.announce.worker).Covers(declared) ||
-        Contains(job.excluded, agent.announce.agent)) {
+        Contains(job.excluded, agent.announce.agent) ||
+        (avoid && Contains(task.failed_on, agent.announce.agent))) {
       continue;
     }
     if (usable[i].probe) {
@@ -323,13 +332,14 @@
   OpenStart start;
   for (const TaskRef& ref : batch.tasks) {
     Job& job = *this->jobs.Find(ref.job);
-    const Task& task = job.tasks[ref.index];
+    Task& task = job.tasks[ref.index];
     const auto left = std::chrono::duration_cast<Milliseconds>(job.deadline - this->now);
     if (left.count() < 1) {
       this->DropTask(job, ref.index);
       continue;
     }
-    request.items.push_back({{job.ticket, ref.index}, job.kind, task.spec, left});
+    request.items.push_back(
+        {{job.ticket, ref.index}, job.kind, task.spec, left, job.IsRepeatable(), ++task.starts});
     start.tasks.push_back(ref);
     start.sent.Add(DeclaredBy(task.spec), task.joins_queue);
   }
@@ -337,9 +347,14 @@
     return;
   }
   request.channel_sequence = this->directory.NextChannelSequence(agent);
+  if (agent.announce.load.clock.count() > 0) {
+    const auto since_report = std::chrono::duration_cast<Microseconds>(this->now - agent.load_at);
+    request.accept_until = agent.announce.load.clock + since_report + kStartPatience;
+  }
   for (const TaskRef& ref : start.tasks) {
     Task& task = this->jobs.Find(ref.job)->tasks[ref.index];
     task.state = JobTaskState::kSent;
+    task.sent_at = this->now;
     task.channel_sequence = request.channel_sequence;
   }
   this->counters.tasks_started += start.tasks.size();
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -36,12 +36,16 @@
 
 void EntryCore::Submit(const Waiter& waiter, const Submission& submission) {
   ServiceState* service = this->FindService(submission.service);
-  const bool has_identity = submission.ticket || !submission.key.empty();
+  const bool has_identity =
+      submission.ticket || !submission.key.empty() || !submission.name.empty();
+  // Only what runs elsewhere under the same ticket or key is not known here; an earlier attempt of
+  // a repeatable job is told apart by its caller.
+  const bool known_not_run = !submission.ticket && submission.key.empty();
   if (service == nullptr) {
     this->Refuse(waiter,
                  {ErrorKind::kUnknownService,
                   "service \"" + submission.service + "\" is not served here; check its name",
-                  !has_identity},
+                  known_not_run},
                  submission.ticket);
     return;
   }
@@ -49,7 +53,7 @@
     this->Refuse(
         waiter,
         {ErrorKind::kNotReady,
-         "this entry has no configuration of the service yet; submit again later", !has_identity},
+         "this entry has no configuration of the service yet; submit again later", known_not_run},
         submission.ticket);
     return;
   }
@@ -60,7 +64,9 @@
                  std::nullopt);
     return;
   }
-  if (!submission.ticket) {
+  if (!submission.name.empty()) {
+    this->SubmitNamed(*service, waiter, submission);
+  } else if (!submission.ticket) {
     this->ClaimKeyFor(*service, waiter, submission);
   } else if (submission.ticket->service != submission.service) {
     this->Refuse(waiter,
@@ -74,6 +80,55 @@
   }
 }
 
+void EntryCore::SubmitNamed(ServiceState& service, const Waiter& waiter,
+                            const Submission& submission) {
+  if (Job* job = this->jobs.FindNamed(service.name, submission.name)) {
+    if (job->answered || job->failure) {
+      this->Refuse(waiter,
+                   {ErrorKind::kOverloaded,
+                    "an earlier run of the job is being stopped; submit it again later", false},
+                   std::nullopt);
+    } else {
+      this->Attach(*job, waiter, submission.body_hash);
+    }
+    return;
+  }
+  const auto* kept = this->named_answers.Find(service.name + "/" + submission.name);
+  if (kept != nullptr && kept->body_hash == submission.body_hash) {
+    this->Deliver(waiter, kept->answer);
+    return;
+  }
+  // The ticket names the job towards the agents and is not told to the caller.
+  const auto tickets = service.ledger.Issue(1, this->directory.RosterNumber(), this->now);
+  if (tickets.empty()) {
+    this->Refuse(waiter,
+                 {ErrorKind::kOverloaded, "too many jobs were submitted; submit again later", true},
+                 std::nullopt);
+    return;
+  }
+  Submission owned = submission;
+  owned.ticket = tickets.front();
+  if (auto refusal = this->CheckSubmission(service, owned)) {
+    refusal->not_run = true;
+    this->Refuse(waiter, *refusal, std::nullopt);
+    return;
+  }
+  this->TakeJob(service, waiter, owned);
+}
+
+void EntryCore::On(const CallerGone& event) {
+  Job* job = this->jobs.FindAwaited(event.request);
+  if (job == nullptr) {
+    return;
+  }
+  std::erase_if(job->waiters, [&](const Waiter& waiter) {
+    return waiter.kind == Waiter::Kind::kCaller && waiter.request == event.request;
+  });
+  if (job->waiters.empty()) {
+    this->FailJob(*job, "cancelled", "the caller closed its connection", true);
+  }
+}
+
 void EntryCore::ClaimKeyFor(ServiceState& service, const Waiter& waiter,
                             const Submission& submission) {
   // What an earlier submission with the key did is not known here, so no refusal before the claim
@@ -314,6 +369,7 @@
   service.ledger.Use(*submission.ticket, this->now);
   Job fresh;
   fresh.ticket = *submission.ticket;
+  fresh.name = submission.name;
   fresh.body_hash = submission.body_hash;
   fresh.kind = submission.kind;
   fresh.urgency = service.configuration->FindKind(submission.kind)->urgency;
--- a/src/core/entry/entry_events.h
+++ b/src/core/entry/entry_events.h
@@ -45,6 +45,12 @@
   Result<Ticket> ticket;
 };
 
+/// The caller closed its connection before it had the answer to a repeatable job. It may submit the
+/// job again to any entry, so nothing of it may go on here.
+struct CallerGone {
+  RequestId request = 0;
+};
+
 struct AgentAnnounced {
   RequestId request = 0;
   Announce announce;
@@ -135,7 +141,7 @@
 struct Tick {};
 
 using EntryEvent =
-    std::variant<JobSubmitted, TicketsRequested, JobQueried, JobCancelled, KeyClaimed,
+    std::variant<JobSubmitted, TicketsRequested, JobQueried, JobCancelled, KeyClaimed, CallerGone,
                  AgentAnnounced, HeartbeatReceived, NoticeReplied, StartReplied, WithdrawReplied,
                  SealReplied, OutcomesReceived, HelloReceived, HelloReplied, ForwardReceived,
                  ForwardReplied, AnswerReceived, AnswerReplied, HandOverReceived, HandOverReplied,
--- a/src/core/entry/job_table.cc
+++ b/src/core/entry/job_table.cc
@@ -1,5 +1,7 @@
 #include "core/entry/job_table.h"
 
+#include <algorithm>
+
 namespace quetzalvale {
 
 Job& JobTable::Add(Job job) {
@@ -10,6 +12,9 @@
   }
   this->payload_bytes += job.payload_bytes;
   this->by_ticket[job.ticket] = job.id;
+  if (job.IsRepeatable()) {
+    this->by_name[{job.ticket.service, job.name}] = job.id;
+  }
   this->due.emplace(job.deadline, job.id);
   this->due_of[job.id] = job.deadline;
   ++this->unanswered_by_service[job.ticket.service];
@@ -32,6 +37,24 @@
   return found == this->by_ticket.end() ? nullptr : this->Find(found->second);
 }
 
+Job* JobTable::FindNamed(const std::string& service, const std::string& name) {
+  const auto found = this->by_name.find({service, name});
+  return found == this->by_name.end() ? nullptr : this->Find(found->second);
+}
+
+Job* JobTable::FindAwaited(RequestId request) {
+  for (const auto& [name, id] : this->by_name) {
+    Job& job = this->jobs.at(id);
+    const bool waits = std::ranges::any_of(job.waiters, [request](const Waiter& waiter) {
+      return waiter.kind == Waiter::Kind::kCaller && waiter.request == request;
+    });
+    if (waits) {
+      return &job;
+    }
+  }
+  return nullptr;
+}
+
 std::vector<std::uint64_t> JobTable::Due(Time now) const {
   std::vector<std::uint64_t> ids;
   for (const auto& [time, id] : this->due) {
@@ -81,6 +104,7 @@
   }
   this->MarkAnswered(found->second);
   this->by_ticket.erase(found->second.ticket);
+  this->by_name.erase({found->second.ticket.service, found->second.name});
   this->jobs.erase(found);
 }
 
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -57,7 +57,16 @@
   bool runs = false;
   /// Placements that were proven not run.
   std::uint32_t refusals = 0;
+  /// Starts sent, and runs that ended by a failure of the task or its endpoint.
+  std::uint32_t starts = 0;
+  std::uint32_t failures = 0;
+  /// Agents on which a run failed or was lost; avoided while there is another one.
+  std::vector<Incarnation> failed_on;
   Microseconds expected{0};
+  /// Of the last start: when it was sent, when its outcome arrived, and how long the run took.
+  Time sent_at{};
+  Time ended_at{};
+  Microseconds run_time{0};
   std::string result;
 };
 
@@ -80,6 +89,8 @@
 struct Job {
   std::uint64_t id = 0;
   Ticket ticket;
+  /// Name of a repeatable job; see Submission.
+  std::string name;
   std::uint64_t body_hash = 0;
   std::string kind;
   std::string team;
@@ -101,6 +112,10 @@
     Time until{};
   };
   std::optional<Failure> failure;
+
+  /// Whether tasks may run again.
+  bool IsRepeatable() const { return !this->name.empty(); }
+
   /// The answer was given; the job stays until its last task has ended.
   bool answered = false;
   std::size_t payload_bytes = 0;
@@ -115,6 +130,10 @@
   Job* Find(std::uint64_t id);
   const Job* Find(std::uint64_t id) const;
   Job* Find(const Ticket& ticket);
+  /// Returns the repeatable job of the service with the name, or nullptr.
+  Job* FindNamed(const std::string& service, const std::string& name);
+  /// Returns the repeatable job for whose answer the caller's request waits, or nullptr.
+  Job* FindAwaited(RequestId request);
 
   /// Ids of jobs that need attention: the deadline has passed, or the wait for proof is over.
   std::vector<std::uint64_t> Due(Time now) const;
@@ -140,6 +159,8 @@
   std::uint64_t next_id = 1;
   std::unordered_map<std::uint64_t, Job> jobs;
   std::unordered_map<Ticket, std::uint64_t> by_ticket;
+  /// Of repeatable jobs, by service and name.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> by_name;
   /// One element per job that is not answered.
   std::set<std::pair<Time, std::uint64_t>> due;
   std::unordered_map<std::uint64_t, Time> due_of;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -40,6 +40,8 @@
 
 /// Load that an agent reports with everything it sends.
 struct AgentLoad {
+  /// The agent's own clock when it sent the report, echoed in StartRequest::accept_until.
+  Microseconds clock{0};
   int free_slots = 0;
   /// What no running task declares and no waiting task has reserved. Zero where the worker states
   /// no capacity.
@@ -59,6 +61,11 @@
   TaskSpec spec;
   /// Time left until the job's deadline when the message was sent.
   Milliseconds time_left{0};
+  /// The job may run again from the start, so the agent ends the run at the job's deadline and when
+  /// it has not heard from the owner for a while.
+  bool repeatable = false;
+  /// Number of the start, from 1.
+  std::uint32_t attempt = 1;
 };
 
 /// Asks one agent incarnation to start tasks. Accepted at most once per channel sequence.
@@ -69,6 +76,9 @@
   std::uint64_t channel_sequence = 0;
   Milliseconds lease{0};
   std::uint64_t configuration_version = 0;
+  /// On the agent's clock: repeatable tasks are refused from then on, because an owner that was
+  /// frozen between sending and delivery has given them up. Zero means any time.
+  Microseconds accept_until{0};
   std::vector<StartItem> items;
 };
 
@@ -258,6 +268,10 @@
   std::optional<Ticket> ticket;
   /// The caller's own idempotency key, claimed in the platform's table; empty when it has a ticket.
   std::string key;
+  /// The caller's name of a job that may run again from the start after its answer was lost, as
+  /// long as no two runs are under way at once. Nothing of such a job is kept; empty for other
+  /// jobs.
+  std::string name{};
   std::string team;
   std::string kind;
   /// Time until the caller needs the answer; zero means the kind's default.
--- a/src/core/service_configuration.h
+++ b/src/core/service_configuration.h
@@ -20,6 +20,8 @@
   Milliseconds deadline{10000};
   /// Prior for the run time until runs have been seen.
   Milliseconds expected{100};
+  /// Failed runs of one task after which its repeatable job fails.
+  std::uint32_t attempts = 1;
 };
 
 struct TeamConfiguration {
--- a/src/entry/action_runner.cc
+++ b/src/entry/action_runner.cc
@@ -59,7 +59,7 @@
 }
 
 void ActionRunner::On(AnswerCaller& action) {
-  this->parts.open.Respond(action.request, RenderAnswer(action.answer));
+  this->parts.open.Respond(action.request, this->parts.render_answer(action.answer));
 }
 
 void ActionRunner::On(GrantTickets& action) {
@@ -76,19 +76,7 @@
   this->parts.inner.Reply(action.request, Encode(reply));
 }
 
-void ActionRunner::On(ClaimKey& action) {
-  const RequestId request = action.request;
-  const bool taken = this->parts.workers.TryRun([this, action] {
-    this->parts.core.PostResult(KeyClaimed{
-        action.request,
-        this->parts.keys.Claim(action.service, action.key, action.body_hash, action.ticket)});
-  });
-  if (!taken) {
-    this->parts.core.PostResult(KeyClaimed{
-        request, Error{ErrorKind::kPlatformUnavailable,
-                       "too many keys wait to be claimed; submit with a ticket instead of a key"}});
-  }
-}
+void ActionRunner::On(ClaimKey& action) { this->parts.claim_key(action); }
 
 void ActionRunner::On(SendStart& action) {
   this->Send<StartReply>(action.address, "start", action.message,
--- a/src/entry/action_runner.h
+++ b/src/entry/action_runner.h
@@ -1,6 +1,7 @@
 /// Carries out what an entry's decision logic decides.
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -9,11 +10,9 @@
 #include "entry/inner_api.h"
 #include "entry/message_accounting.h"
 #include "entry/open_requests.h"
-#include "entry/worker_pool.h"
 #include "protocol/peer_senders.h"
 #include "runtime/clock.h"
 #include "runtime/metrics.h"
-#include "store/key_registry.h"
 
 namespace quetzalvale {
 
@@ -25,8 +24,9 @@
     OpenRequests& open;
     InnerApi& inner;
     PeerSenders& senders;
-    KeyRegistry& keys;
-    WorkerPool& workers;
+    /// See EntryRuntime::Options.
+    std::function<void(const ClaimKey&)> claim_key;
+    std::function<HttpResponse(const Answer&)> render_answer;
     Metrics& metrics;
     const Clock& clock;
     std::function<void()> departed;
--- a/src/entry/configuration_book.cc
+++ b/src/entry/configuration_book.cc
@@ -19,8 +19,8 @@
                               const std::string& source) {
   // Held while telling, so that versions arrive in order.
   const std::lock_guard lock(this->mutex);
-  const auto found = this->known.find(service);
-  if (found == this->known.end() || stored.version <= found->second.stored.version ||
+  const auto found = this->known.try_emplace(service).first;
+  if (stored.version <= found->second.stored.version ||
       stored.version == found->second.refused_version) {
     return;
   }
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -14,15 +14,11 @@
 constexpr std::chrono::milliseconds kPlatformTimeout{2000};
 constexpr std::chrono::milliseconds kChangePatience{10000};
 constexpr std::chrono::milliseconds kClaimPatience{3000};
-constexpr std::chrono::milliseconds kCallTimeout{2000};
 constexpr std::chrono::milliseconds kResponsePatience{10000};
-constexpr std::chrono::milliseconds kStatusPatience{1000};
-constexpr std::size_t kCallsPerPeer = 4096;
 constexpr std::size_t kWaitingClaims = 4096;
 constexpr std::size_t kWaitingChanges = 64;
 constexpr int kKeyThreads = 4;
 constexpr int kAdminThreads = 2;
-constexpr int kRpcThreads = 4;
 
 }  // namespace
 
@@ -37,16 +33,15 @@
       store(table, clock, kChangePatience, this->guards.change_version),
       registry(table, self, this->settings.name),
       keys(table, self.incarnation, DrawSeed, kClaimPatience, this->guards.key_version),
-      senders(this->settings.shared_key, kCallsPerPeer, kCallTimeout),
       key_workers(kKeyThreads, kWaitingClaims),
       admin_workers(kAdminThreads, kWaitingChanges),
-      book(this->settings.services, [this](std::shared_ptr<const ServiceConfiguration> changed) {
-        this->core->PostResult(ConfigurationChanged{std::move(changed)});
-      }) {}
+      runtime({this->self, this->settings.inner_address, this->settings.shared_key,
+               this->settings.services, this->guards,
+               [this](const ClaimKey& action) { this->Claim(action); }, RenderAnswer}) {}
 
 EntryProcess::~EntryProcess() { this->Stop(); }
 
-EntryCore EntryProcess::MakeCore() {
+std::vector<std::string> EntryProcess::SeedAddresses() {
   std::vector<std::string> seeds = this->settings.entries;
   const auto others = this->registry.Others();
   if (const auto* known = std::get_if<std::vector<EntryInfo>>(&others)) {
@@ -57,47 +52,47 @@
   std::sort(seeds.begin(), seeds.end());
   seeds.erase(std::unique(seeds.begin(), seeds.end()), seeds.end());
   std::erase(seeds, this->self.address);
-  return {this->self, this->settings.services, std::move(seeds), DrawSeed(), this->guards};
+  return seeds;
+}
+
+void EntryProcess::Claim(const ClaimKey& action) {
+  const bool taken = this->key_workers.TryRun([this, action] {
+    this->runtime.Core().PostResult(
+        KeyClaimed{action.request,
+                   this->keys.Claim(action.service, action.key, action.body_hash, action.ticket)});
+  });
+  if (!taken) {
+    this->runtime.Core().PostResult(KeyClaimed{
+        action.request,
+        Error{ErrorKind::kPlatformUnavailable,
+              "too many keys wait to be claimed; submit with a ticket instead of a key"}});
+  }
 }
 
 std::string EntryProcess::Start() {
-  this->core = std::make_unique<CoreThread>(
-      this->MakeCore(), this->clock,
-      [this](Time posted, const EntryEvent& event, std::vector<EntryAction> actions) {
-        this->runner->Run(posted, event, std::move(actions));
-      });
-  this->inner = std::make_unique<InnerApi>(*this->core, this->book, this->ids);
-  this->runner = std::make_unique<ActionRunner>(
-      ActionRunner::Parts{*this->core, this->open, *this->inner, this->senders, this->keys,
-                          this->key_workers, this->metrics, this->clock, [this] {
-                            if (!this->departed_set.exchange(true)) {
-                              this->departed.set_value();
-                            }
-                          }});
-  this->callers = std::make_unique<CallerApi>(*this->core, this->open, this->book, this->ids);
+  std::string problem = this->runtime.Start(this->SeedAddresses());
+  if (!problem.empty()) {
+    return problem;
+  }
+  EntryRuntime& parts = this->runtime;
+  this->callers =
+      std::make_unique<CallerApi>(parts.Core(), parts.Open(), parts.Book(), parts.RequestIds());
   this->admin = std::make_unique<AdminApi>(
-      AdminApi::Parts{this->settings.name, this->administrators, *this->core, this->book,
-                      this->store, this->admin_workers, this->senders, this->leave_requested});
-  this->poller = std::make_unique<PlatformPoller>(PlatformPoller::Parts{
-      this->book, this->store, this->registry, this->senders, [this] { return this->Status(); },
-      [this](std::vector<EntryInfo> entries) {
-        this->core->PostResult(EntriesRead{std::move(entries)});
-      },
-      this->settings.entries});
-  this->rpc = std::make_unique<RpcServer>(this->settings.inner_address, this->settings.shared_key,
-                                          kRpcThreads);
-  this->inner->RegisterWith(*this->rpc);
+      AdminApi::Parts{this->settings.name, this->administrators, parts.Core(), parts.Book(),
+                      this->store, this->admin_workers, parts.Senders(), this->leave_requested});
+  this->poller = std::make_unique<PlatformPoller>(
+      PlatformPoller::Parts{parts.Book(), this->store, this->registry, parts.Senders(),
+                            [this] { return this->runtime.Status(); },
+                            [this](std::vector<EntryInfo> entries) {
+                              this->runtime.Core().PostResult(EntriesRead{std::move(entries)});
+                            },
+                            this->settings.entries});
   this->http = std::make_unique<HttpServer>(
-      this->settings.caller_address, [this] { return this->book.MaxBodyBytes(); },
+      this->settings.caller_address, [this] { return this->runtime.Book().MaxBodyBytes(); },
       [this](const HttpRequest& request, const HttpResponder& respond) {
         this->Handle(request, respond);
       });
-  this->core->Start();
-  if (!this->rpc->Start()) {
-    return "cannot listen on inner_address " + this->settings.inner_address +
-           "; free the address or change the settings";
-  }
-  const std::string problem = this->http->Start();
+  problem = this->http->Start();
   if (!problem.empty()) {
     return "cannot listen on caller_address " + this->settings.caller_address + " (" + problem +
            "); free the address or change the settings";
@@ -129,7 +124,7 @@
   if (this->leaving) {
     return RenderRefusal({ErrorKind::kLeaving, "the entry is leaving; use another entry"});
   }
-  if (!this->book.IsComplete()) {
+  if (!this->runtime.Book().IsComplete()) {
     return RenderRefusal({ErrorKind::kNotReady,
                           "a service's configuration is not known yet; apply one or wait for the "
                           "platform"});
@@ -138,36 +133,25 @@
 }
 
 void EntryProcess::ServeMetrics(const HttpResponder& respond) {
-  const bool posted = this->core->PostStatusRequest([this, respond](const EntryStatus& status) {
-    const std::uint64_t sent = this->senders.SentCalls() + this->table.SentRequests();
-    respond({200, RenderMetrics(this->metrics, status, sent), "text/plain"});
-  });
+  const bool posted =
+      this->runtime.Core().PostStatusRequest([this, respond](const EntryStatus& status) {
+        const std::uint64_t sent = this->runtime.Senders().SentCalls() + this->table.SentRequests();
+        respond({200, RenderMetrics(this->runtime.Counters(), status, sent), "text/plain"});
+      });
   if (!posted) {
     respond(RenderRefusal({ErrorKind::kOverloaded, "the entry is overloaded; read them again"}));
   }
 }
 
-std::optional<EntryStatus> EntryProcess::Status() {
-  auto promise = std::make_shared<std::promise<EntryStatus>>();
-  auto future = promise->get_future();
-  const bool posted = this->core->PostStatusRequest(
-      [promise](const EntryStatus& status) { promise->set_value(status); });
-  if (!posted || future.wait_for(kStatusPatience) != std::future_status::ready) {
-    return std::nullopt;
-  }
-  return future.get();
-}
-
 void EntryProcess::Leave() {
-  if (!this->core || !this->http) {
+  if (!this->http) {
     return;
   }
   this->leaving = true;
   Log(LogLevel::kInfo, 3001, "entry_leaving", "name=" + this->settings.name);
   // Callers' connections are not reused from now on, so that none is closed under a request.
   this->http->CloseConnections();
-  this->core->PostResult(LeaveRequested{});
-  this->departed.get_future().wait();
+  this->runtime.Leave();
   this->poller->Stop();
   this->registry.Remove();
   this->http->Stop(kResponsePatience);
@@ -182,15 +166,9 @@
   if (this->http) {
     this->http->Stop(std::chrono::milliseconds(0));
   }
-  if (this->rpc) {
-    this->rpc->Stop();
-  }
   this->key_workers.Stop();
   this->admin_workers.Stop();
-  this->senders.Stop();
-  if (this->core) {
-    this->core->Stop();
-  }
+  this->runtime.Stop();
 }
 
 }  // namespace quetzalvale
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -2,21 +2,19 @@
 #pragma once
 
 #include <atomic>
-#include <cstdint>
 #include <functional>
-#include <future>
 #include <memory>
 #include <optional>
 #include <string>
 
-#include "entry/action_runner.h"
 #include "entry/admin_api.h"
 #include "entry/caller_api.h"
-#include "entry/inner_api.h"
+#include "entry/entry_runtime.h"
 #include "entry/platform_poller.h"
 #include "http/http_server.h"
 #include "settings/process_settings.h"
 #include "store/http_table_client.h"
+#include "store/key_registry.h"
 
 namespace quetzalvale {
 
@@ -45,40 +43,30 @@
   const Incarnation& Identity() const { return this->self.incarnation; }
 
  private:
-  EntryCore MakeCore();
+  /// Inner addresses of other entries, from the settings and the platform's table.
+  std::vector<std::string> SeedAddresses();
+  void Claim(const ClaimKey& action);
   void Handle(const HttpRequest& request, const HttpResponder& respond);
   HttpResponse Ready() const;
   void ServeMetrics(const HttpResponder& respond);
-  /// Returns nothing when the entry is overloaded.
-  std::optional<EntryStatus> Status();
 
   ProcessSettings settings;
   std::function<void()> leave_requested;
   EntryGuards guards;
   SystemClock clock;
   EntryInfo self;
-  std::atomic<std::uint64_t> ids{0};
   std::atomic<bool> leaving{false};
-  std::promise<void> departed;
-  std::atomic<bool> departed_set{false};
-  Metrics metrics;
   Administrators administrators;
   HttpTableClient table;
   ConfigurationStore store;
   EntryRegistry registry;
   KeyRegistry keys;
-  PeerSenders senders;
-  OpenRequests open;
   WorkerPool key_workers;
   WorkerPool admin_workers;
-  ConfigurationBook book;
-  std::unique_ptr<ActionRunner> runner;
-  std::unique_ptr<CoreThread> core;
-  std::unique_ptr<InnerApi> inner;
+  EntryRuntime runtime;
   std::unique_ptr<CallerApi> callers;
   std::unique_ptr<AdminApi> admin;
   std::unique_ptr<PlatformPoller> poller;
-  std::unique_ptr<RpcServer> rpc;
   std::unique_ptr<HttpServer> http;
 };
 
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,8 +1,12 @@
-/// Asynchronous HTTP server on cpprestsdk.
+/// Asynchronous HTTP server on Boost.Beast.
+// Not on cpprestsdk, which does not tell when a peer closes its connection before it has the
+// response.
 #pragma once
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,15 +14,19 @@
 
 namespace quetzalvale {
 
-/// Sets the number of threads that serve all HTTP servers and clients of the process. Call once,
-/// before the first of them; the library's default of 40 wastes memory.
+/// Sets the number of threads that serve all HttpClients of the process. Call once, before the
+/// first of them; the library's default of 40 wastes memory.
 void InitHttpThreads(int threads);
 
-/// Listens on one address. A request whose body exceeds the limit gets 413 and does not reach the
-/// handler; cpprestsdk still buffers the body until the response is sent. Thread-safe but for Start
-/// and Stop.
+/// Listens on one address with one thread, on which the handler is called. A request whose body
+/// exceeds the limit gets 413 and does not reach the handler. Thread-safe but for SetAbandoned,
+/// Start and Stop.
 class HttpServer {
  public:
+  /// Told when the peer has closed its connection before it got the response to this exchange. The
+  /// response may still be given and is dropped.
+  using Abandoned = std::function<void(std::uint64_t exchange)>;
+
   /// `address` is `IPv4:port`. `max_body_bytes` is asked for each request.
   HttpServer(const std::string& address, std::function<std::size_t()> max_body_bytes,
              HttpHandler handler);
@@ -26,6 +34,9 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  /// Precondition: not started.
+  void SetAbandoned(Abandoned abandoned);
+
   /// Returns an empty text, or the reason why the address cannot be listened on.
   std::string Start();
 
--- /dev/null
+++ b/src/http/http_session.cc
@@ -0,0 +1,235 @@
+#include "http/http_session.h"
+
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <future>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace quetzalvale {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using Tcp = boost::asio::ip::tcp;
+
+constexpr unsigned int kHttp11 = 11;
+/// Larger than every answer of the servers that are called; bounds what a broken one can send.
+constexpr std::size_t kMaxAnswerBytes = 64U << 20U;
+
+Tcp::endpoint ParseAddress(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    throw std::invalid_argument("the address \"" + address + "\" is not IPv4:port");
+  }
+  return {asio::ip::make_address(address.substr(0, colon)),
+          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+}  // namespace
+
+struct HttpSession::State : public std::enable_shared_from_this<HttpSession::State> {
+  struct Call {
+    OutgoingRequest request;
+    std::chrono::steady_clock::time_point until;
+    Done done;
+  };
+  class Connection;
+
+  State(const std::string& address, std::size_t max_connections)
+      : host(address), endpoint(ParseAddress(address)), max_connections(max_connections) {}
+
+  void Dispatch();
+
+  std::string host;
+  Tcp::endpoint endpoint;
+  std::size_t max_connections;
+  asio::io_context context{1};
+  asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
+  std::thread thread;
+  std::deque<Call> waiting;
+  std::vector<std::shared_ptr<Connection>> connections;
+};
+
+/// One connection, used on the session's thread only.
+class HttpSession::State::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(State& session) : session(session), stream(std::in_place, session.context) {}
+
+  bool IsIdle() const { return !this->call; }
+
+  void Run(Call next) {
+    this->call = std::move(next);
+    this->Build();
+    this->stream->expires_at(this->call->until);
+    if (this->connected) {
+      beast::error_code ignored;
+      // Ends the wait of WatchPeer.
+      this->stream->socket().cancel(ignored);
+      this->Write();
+      return;
+    }
+    this->stream->async_connect(this->session.endpoint,
+                                [self = this->shared_from_this()](beast::error_code error) {
+                                  if (error) {
+                                    self->Fail({true, "cannot connect: " + error.message()});
+                                    return;
+                                  }
+                                  self->connected = true;
+                                  beast::error_code ignored;
+                                  self->stream->socket().set_option(Tcp::no_delay(true), ignored);
+                                  self->Write();
+                                });
+  }
+
+  void Close() {
+    beast::error_code ignored;
+    this->stream->socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    this->stream->close();
+  }
+
+ private:
+  void Build() {
+    const OutgoingRequest& from = this->call->request;
+    this->message = {http::string_to_verb(from.method), from.target, kHttp11};
+    this->message.set(http::field::host, this->session.host);
+    if (!from.authorization.empty()) {
+      this->message.set(http::field::authorization, from.authorization);
+    }
+    for (const auto& [name, value] : from.headers) {
+      this->message.set(name, value);
+    }
+    if (!from.body.empty()) {
+      this->message.set(http::field::content_type, "application/json");
+    }
+    this->message.keep_alive(!from.once);
+    this->message.body() = from.body;
+    this->message.prepare_payload();
+  }
+
+  void Write() {
+    http::async_write(
+        *this->stream, this->message,
+        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+          error ? self->Fail({false, "cannot send: " + error.message()}) : self->Read();
+        });
+  }
+
+  void Read() {
+    this->parser.emplace();
+    this->parser->body_limit(kMaxAnswerBytes);
+    http::async_read(
+        *this->stream, this->buffer, *this->parser,
+        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+          error ? self->Fail({false, "no answer: " + error.message()}) : self->Complete();
+        });
+  }
+
+  void Complete() {
+    auto message = this->parser->release();
+    HttpResponse response;
+    response.status = static_cast<int>(message.result_int());
+    response.body = std::move(message.body());
+    if (!message.keep_alive()) {
+      this->Drop();
+    }
+    const Done done = std::exchange(this->call, std::nullopt)->done;
+    if (this->connected) {
+      this->stream->expires_never();
+      this->WatchPeer();
+    }
+    done(std::move(response));
+    this->session.Dispatch();
+  }
+
+  void Fail(HttpFailure failure) {
+    this->Drop();
+    const Done done = std::exchange(this->call, std::nullopt)->done;
+    done(std::move(failure));
+    this->session.Dispatch();
+  }
+
+  /// A connection that the peer closes while it is idle must not be used for the next request.
+  void WatchPeer() {
+    this->stream->socket().async_wait(Tcp::socket::wait_read,
+                                      [self = this->shared_from_this()](beast::error_code error) {
+                                        if (!error && self->IsIdle()) {
+                                          self->Drop();
+                                        }
+                                      });
+  }
+
+  void Drop() {
+    this->Close();
+    this->stream.emplace(this->session.context);
+    this->buffer.clear();
+    this->connected = false;
+  }
+
+  State& session;
+  /// Replaced when the connection is dropped.
+  std::optional<beast::tcp_stream> stream;
+  beast::flat_buffer buffer;
+  http::request<http::string_body> message;
+  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<Call> call;
+  bool connected = false;
+};
+
+void HttpSession::State::Dispatch() {
+  while (!this->waiting.empty()) {
+    auto idle = std::ranges::find_if(this->connections,
+                                     [](const auto& connection) { return connection->IsIdle(); });
+    if (idle == this->connections.end()) {
+      if (this->connections.size() >= this->max_connections) {
+        return;
+      }
+      this->connections.push_back(std::make_shared<Connection>(*this));
+      idle = std::prev(this->connections.end());
+    }
+    Call call = std::move(this->waiting.front());
+    this->waiting.pop_front();
+    (*idle)->Run(std::move(call));
+  }
+}
+
+HttpSession::HttpSession(const std::string& address, std::size_t max_connections)
+    : state(std::make_shared<State>(address, max_connections)) {
+  this->state->thread = std::thread([state = this->state] { state->context.run(); });
+}
+
+HttpSession::~HttpSession() {
+  this->state->context.stop();
+  this->state->thread.join();
+}
+
+void HttpSession::Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done) {
+  asio::post(this->state->context,
+             [state = this->state.get(),
+              call = State::Call{std::move(request), std::chrono::steady_clock::now() + timeout,
+                                 std::move(done)}]() mutable {
+               state->waiting.push_back(std::move(call));
+               state->Dispatch();
+             });
+}
+
+HttpResult HttpSession::SendAndWait(OutgoingRequest request, std::chrono::milliseconds timeout) {
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  auto future = promise->get_future();
+  this->Send(std::move(request), timeout,
+             [promise](HttpResult result) { promise->set_value(std::move(result)); });
+  return future.get();
+}
+
+}  // namespace quetzalvale
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -28,6 +28,7 @@
 
 template <typename V>
 void VisitFields(V& visit, AgentLoad& m) {
+  visit("clock_us", m.clock);
   visit("free_slots", m.free_slots);
   visit("free_cores", m.free_cores);
   visit("free_memory_mb", m.free_memory_mb);
@@ -43,6 +44,8 @@
   visit("kind", m.kind);
   visit("spec", m.spec);
   visit("time_left_ms", m.time_left);
+  visit("repeatable", m.repeatable);
+  visit("attempt", m.attempt);
 }
 
 template <typename V>
@@ -53,6 +56,7 @@
   visit("channel_sequence", m.channel_sequence);
   visit("lease_ms", m.lease);
   visit("configuration_version", m.configuration_version);
+  visit("accept_until_us", m.accept_until);
   visit("items", m.items);
 }
 
@@ -201,6 +205,7 @@
   visit("service", m.service);
   visit("ticket", m.ticket);
   visit("key", m.key);
+  visit("name", m.name);
   visit("team", m.team);
   visit("kind", m.kind);
   visit("deadline_ms", m.deadline);
--- a/src/settings/service_document.cc
+++ b/src/settings/service_document.cc
@@ -23,7 +23,7 @@
     "kinds": {"type": "array", "minItems": 1, "maxItems": 1000,
       "description": "a list of kinds with at least one member",
       "items": {"type": "object", "additionalProperties": false, "required": ["name"],
-        "description": "an object with name, urgency, deadline_ms and expected_ms",
+        "description": "an object with name, urgency, deadline_ms, expected_ms and attempts",
         "properties": {
           "name": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,100}$",
             "description": "1 to 100 letters, digits, dots, hyphens or underscores"},
@@ -32,7 +32,9 @@
           "deadline_ms": {"type": "integer", "minimum": 1, "maximum": 86400000,
             "description": "milliseconds, 1 to 86400000"},
           "expected_ms": {"type": "integer", "minimum": 1, "maximum": 86400000,
-            "description": "milliseconds, 1 to 86400000"}}}},
+            "description": "milliseconds, 1 to 86400000"},
+          "attempts": {"type": "integer", "minimum": 1, "maximum": 100,
+            "description": "runs of one task, 1 to 100"}}}},
     "teams": {"type": "array", "minItems": 1, "maxItems": 10000,
       "description": "a list of teams with at least one member",
       "items": {"type": "object", "additionalProperties": false, "required": ["name"],
@@ -211,6 +213,7 @@
     Read(json, "urgency", kind.urgency);
     Read(json, "deadline_ms", kind.deadline);
     Read(json, "expected_ms", kind.expected);
+    Read(json, "attempts", kind.attempts);
   }
   for (const auto& json : document["teams"]) {
     TeamConfiguration& team = configuration.teams.emplace_back();
--- a/tests/agent_program/agent_process_test.cc
+++ b/tests/agent_program/agent_process_test.cc
@@ -1,4 +1,5 @@
 #include "agent/agent_process.h"
+#include "http/http_client.h"
 
 #include <gtest/gtest.h>
 
