Count an agent's room in runs that fit its cores

Cause: placement and admission counted the 256 slots that the platform's agents state, so a busy fast worker always looked as if it were about to have room, and admission never rejected. Now the number of runs that fit by cores, memory and accelerators is used. A job whose task ran before is no longer called not run.

--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -143,7 +143,7 @@
     return;
   }
   const auto ran = [](const Task& task) {
-    return task.runs || task.state == JobTaskState::kDone || task.state == JobTaskState::kFailed ||
+    return task.runs || task.ran_before || task.state == JobTaskState::kDone || task.state == JobTaskState::kFailed ||
            task.state == JobTaskState::kUnknown;
   };
   const bool any_ran = std::ranges::any_of(job.tasks, ran);
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -176,6 +176,7 @@
   task.agent = {};
   task.channel_sequence = 0;
   task.runs = false;
+  task.ran_before = true;
   QueueTask(*this->FindService(job.ticket.service), job, index);
 }
 
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -193,6 +193,7 @@
       return choices;
     }
     Candidate candidate = usable[i].candidate;
+    candidate.slots = ParallelRuns(CapacityOf(agent.announce.worker), declared);
     const bool full = candidate.queued >= queue;
     const bool fits =
         usable[i].finds_out || (usable[i].stale && full) || usable[i].free.Covers(declared);
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -318,6 +318,8 @@
   const int urgency = kind == nullptr ? 0 : kind->urgency;
   load.queued_tasks = static_cast<std::uint32_t>(service.queue.Size());
   load.urgent_slots = service.arrivals.SlotsAhead(urgency, this->now);
+  const Resources typical =
+      submission.tasks.empty() ? Resources{1} : DeclaredBy(submission.tasks.front());
   for (const auto& [incarnation, agent] : this->directory.Agents()) {
     const bool usable = agent.member && !agent.leaving && agent.announce.service == service.name &&
                         agent.first_roster <= submission.ticket->roster;
@@ -331,11 +333,11 @@
     if (!service.health.IsAvailable(agent.announce.name)) {
       continue;
     }
-    const int busy = agent.announce.worker.slots - agent.announce.load.free_slots;
+    const int slots = ParallelRuns(CapacityOf(agent.announce.worker), typical);
+    const int free = ParallelRuns(ReportedFree(agent.announce.worker, agent.announce.load), typical);
     const int own = static_cast<int>(agent.outstanding.size());
-    const int others = std::clamp(busy - own, 0, agent.announce.worker.slots);
-    load.effective_slots +=
-        (agent.announce.worker.slots - others) * service.model.Speed(agent.announce.name);
+    const int others = std::clamp(slots - free - own, 0, slots);
+    load.effective_slots += (slots - others) * service.model.Speed(agent.announce.name);
   }
   StartQueue::Newcomer job;
   job.urgency = urgency;
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -55,6 +55,8 @@
   bool joins_queue = false;
   /// The agent has reported that the task runs.
   bool runs = false;
+  /// An earlier run of the task has ended, so the job cannot be said not to have run.
+  bool ran_before = false;
   /// Placements that were proven not run.
   std::uint32_t refusals = 0;
   /// Starts sent, and runs that ended by a failure of the task or its endpoint.
--- a/src/core/policy/run_time_model.cc
+++ b/src/core/policy/run_time_model.cc
@@ -97,7 +97,7 @@
   const auto found = this->kinds.find(kind_name);
   const KindEstimate kind = found == this->kinds.end() ? KindEstimate{} : found->second;
   if (kind.runs == 0) {
-    return Microseconds(std::llround(kind.prior_us));
+    return declared.count() > 0 ? declared : Microseconds(std::llround(kind.prior_us));
   }
   double size_us = kind.mean_us;
   if (declared.count() > 0 && PrefersDeclared(kind)) {
--- a/src/core/policy/worker_resources.cc
+++ b/src/core/policy/worker_resources.cc
@@ -83,6 +83,18 @@
   return task.millicores != 0 || task.memory_mb != 0 || task.accelerators != 0;
 }
 
+int ParallelRuns(const Resources& amounts, const Resources& task) {
+  constexpr std::int64_t kMost = 1000000;
+  const auto runs = [](std::int64_t amount, std::int64_t need) {
+    return need > 0 ? std::max<std::int64_t>(0, amount) / need : kMost;
+  };
+  const std::int64_t fewest =
+      std::min({runs(amounts.slots, std::max<std::int64_t>(1, task.slots)),
+                runs(amounts.millicores, task.millicores), runs(amounts.memory_mb, task.memory_mb),
+                runs(amounts.accelerators, task.accelerators)});
+  return static_cast<int>(fewest);
+}
+
 bool WorkerResources::AnyDeclared() const {
   Resources taken = this->capacity;
   taken -= this->free;
--- a/src/core/policy/worker_resources.h
+++ b/src/core/policy/worker_resources.h
@@ -37,6 +37,9 @@
 /// Whether the task declares cores, memory or accelerators.
 bool DeclaresAny(const Resources& task);
 
+/// How many such tasks find room in the amounts at once. Negative amounts hold none.
+int ParallelRuns(const Resources& amounts, const Resources& task);
+
 /// Not thread-safe.
 class WorkerResources {
  public:
