Give answers a target: overtaking by latest start, late work last, hopeless jobs given up

Kinds now have a target from the platform's configuration; a task overtakes when waiting longer would make it late, late work goes last, hopeless jobs are failed at once, and admission asks for an answer on time.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -172,6 +172,7 @@
   void AnswerFromLedger(const TicketLedger& ledger, const Waiter& waiter, const Ticket& ticket,
                         const std::uint64_t* body_hash);
   Result<std::optional<Answer>> LookUp(const Ticket& ticket);
+  static Microseconds LongestTask(const ServiceState& service, const Submission& submission);
   static Milliseconds JobDeadline(const ServiceState& service, const Submission& submission);
 
   // Answers (entry_core_jobs.cc).
@@ -194,6 +195,8 @@
   // Starts (entry_core_starts.cc).
   static void QueueTask(ServiceState& service, const Job& job, std::uint32_t index);
   void PlaceTasks(ServiceState& service);
+  /// Fails the jobs with a waiting task that can no longer be of use, rather than at their deadline.
+  void GiveUpHopeless(ServiceState& service);
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
   bool HasRoom(const ServiceState& service, const Agent& agent) const;
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -113,6 +113,17 @@
   });
 }
 
+void EntryCore::GiveUpHopeless(ServiceState& service) {
+  for (const TaskRef& ref : service.queue.TakeHopeless(this->now)) {
+    Job* job = this->jobs.Find(ref.job);
+    if (job != nullptr && !job->failure) {
+      this->FailJob(*job, "too_late",
+                    "the answer can no longer be of use; submit the job again when there is less load",
+                    true);
+    }
+  }
+}
+
 std::vector<EntryCore::Usable> EntryCore::UsableAgents(ServiceState& service) {
   std::vector<Usable> usable;
   for (auto& [incarnation, agent] : this->directory.Agents()) {
@@ -125,18 +136,23 @@
 }
 
 void EntryCore::QueueTask(ServiceState& service, const Job& job, std::uint32_t index) {
-  service.queue.Add({{job.id, index},
-                     job.urgency,
-                     job.team,
-                     job.submitted,
-                     job.deadline,
-                     job.tasks[index].expected});
+  StartQueue::Waiting waiting{{job.id, index},
+                              job.urgency,
+                              job.team,
+                              job.submitted,
+                              job.deadline,
+                              job.tasks[index].expected};
+  if (job.target) {
+    waiting.schedule = ScheduleOf(*job.target, waiting.expected);
+  }
+  service.queue.Add(waiting);
 }
 
 void EntryCore::PlaceTasks(ServiceState& service) {
   if (service.queue.Size() == 0) {
     return;
   }
+  this->GiveUpHopeless(service);
   std::vector<Usable> usable = this->UsableAgents(service);
   std::uint32_t declined = 0;
   std::uint32_t blocked = 0;
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -351,6 +351,13 @@
   }
   job.overtakes_at =
       StartQueue::OvertakesAt(this->now, this->now + JobDeadline(service, submission));
+  if (kind != nullptr && kind->target_stretch > 0) {
+    const Microseconds longest = LongestTask(service, submission);
+    const AnswerTarget target =
+        TargetOf(*kind, longest, this->now, this->now + JobDeadline(service, submission));
+    job.overtakes_at = StartQueue::OvertakesAt(this->now, ScheduleOf(target, longest));
+    load.useful_for = std::chrono::duration_cast<Microseconds>(target.on_time - this->now);
+  }
   load.overtakes_after = std::chrono::duration_cast<Microseconds>(job.overtakes_at - this->now);
   job.done_until_then = Microseconds(
       std::llround(static_cast<double>(load.overtakes_after.count()) * load.effective_slots));
@@ -358,6 +365,14 @@
   return load;
 }
 
+Microseconds EntryCore::LongestTask(const ServiceState& service, const Submission& submission) {
+  Microseconds longest{0};
+  for (const TaskSpec& spec : submission.tasks) {
+    longest = std::max(longest, service.model.Expected(submission.kind, spec.declared));
+  }
+  return longest;
+}
+
 Milliseconds EntryCore::JobDeadline(const ServiceState& service, const Submission& submission) {
   if (submission.deadline.count() > 0) {
     return std::min(submission.deadline, kLongestDeadline);
@@ -378,6 +393,10 @@
   fresh.team = service.CountedTeam(submission.team);
   fresh.submitted = this->now;
   fresh.deadline = this->now + JobDeadline(service, submission);
+  const auto* kind = service.configuration->FindKind(submission.kind);
+  if (fresh.IsRepeatable() && kind->target_stretch > 0) {
+    fresh.target = TargetOf(*kind, LongestTask(service, submission), this->now, fresh.deadline);
+  }
   for (const TaskSpec& spec : submission.tasks) {
     Task task;
     task.spec = spec;
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -15,6 +15,7 @@
 
 #include "core/entry/entry_events.h"
 #include "core/messages.h"
+#include "core/policy/answer_target.h"
 #include "core/types.h"
 
 namespace quetzalvale {
@@ -99,6 +100,8 @@
   int urgency = 0;
   Time submitted{};
   Time deadline{};
+  /// Of repeatable jobs only; others are worth their answer until the deadline.
+  std::optional<AnswerTarget> target;
   std::vector<Task> tasks;
   std::vector<Waiter> waiters;
   /// Tasks that have not ended, and those that ended well.
--- a/src/core/policy/admission.cc
+++ b/src/core/policy/admission.cc
@@ -100,9 +100,12 @@
 std::optional<Error> CheckDeadline(const ServiceConfiguration& configuration,
                                    const RunTimeModel& model, const LoadView& load,
                                    const Submission& submission) {
-  const Milliseconds deadline = submission.deadline.count() > 0
-                                    ? submission.deadline
-                                    : configuration.FindKind(submission.kind)->deadline;
+  Milliseconds deadline = submission.deadline.count() > 0
+                              ? submission.deadline
+                              : configuration.FindKind(submission.kind)->deadline;
+  if (load.useful_for) {
+    deadline = std::min(deadline, std::chrono::duration_cast<Milliseconds>(*load.useful_for));
+  }
   double work = 0;
   double longest = 0;
   for (const TaskSpec& task : submission.tasks) {
--- a/src/core/policy/admission.h
+++ b/src/core/policy/admission.h
@@ -24,6 +24,9 @@
   /// has waited so long that it overtakes them.
   double urgent_slots = 0;
   Microseconds overtakes_after = Microseconds::max();
+  /// Time until the job's answer is late, when its kind has a target. In an overload a job that can
+  /// only be late takes room from others that would be on time.
+  std::optional<Microseconds> useful_for;
   bool has_agents = false;
 };
 
--- /dev/null
+++ b/src/core/policy/answer_target.cc
@@ -0,0 +1,33 @@
+#include "core/policy/answer_target.h"
+
+#include <algorithm>
+
+namespace quetzalvale {
+namespace {
+
+/// Fast endpoints run a task in about this share of its expected time, and run times vary, so a start
+/// is given up only when even a short run would be too late.
+constexpr double kShortRun = 0.75;
+
+Time::duration Scale(Microseconds time, double factor) {
+  return std::chrono::duration_cast<Time::duration>(time * factor);
+}
+
+}  // namespace
+
+AnswerTarget TargetOf(const KindConfiguration& kind, Microseconds longest, Time submitted,
+                      Time deadline) {
+  if (kind.target_stretch <= 0) {
+    return {deadline, deadline};
+  }
+  const Time::duration aim = Scale(longest, kind.target_stretch) + kind.target_slack;
+  const auto useful = std::chrono::duration_cast<Time::duration>(aim * kind.late_factor);
+  return {std::min(submitted + aim, deadline), std::min(submitted + useful, deadline)};
+}
+
+StartSchedule ScheduleOf(const AnswerTarget& target, Microseconds expected) {
+  const Time::duration run = Scale(expected, kShortRun);
+  return {target.on_time - run, target.useful_until - run};
+}
+
+}  // namespace quetzalvale
--- a/src/core/policy/start_queue.cc
+++ b/src/core/policy/start_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace quetzalvale {
 namespace {
@@ -10,6 +11,9 @@
 /// Share of the time to deadline after which a task overtakes more urgent ones.
 constexpr double kOvertakeShare = 0.05;
 
+/// A task with a schedule overtakes this long before its answer would become late.
+constexpr Milliseconds kStartMargin{20};
+
 /// Steps in which the overtaking work is summed; short against the waits that admission refuses.
 constexpr Milliseconds kStep{100};
 
@@ -25,8 +29,25 @@
   return submitted + std::chrono::duration_cast<Time::duration>(wait);
 }
 
+Time StartQueue::OvertakesAt(Time submitted, const StartSchedule& schedule) {
+  return std::max(submitted, schedule.latest_on_time - kStartMargin);
+}
+
+Time StartQueue::OvertakesAt(const Waiting& waiting) {
+  return waiting.schedule ? OvertakesAt(waiting.submitted, *waiting.schedule)
+                          : OvertakesAt(waiting.submitted, waiting.deadline);
+}
+
 FairQueue& StartQueue::QueueOf(const Entry& entry) {
-  return entry.overtakes ? this->overtaking : this->levels[entry.waiting.urgency];
+  switch (entry.stage) {
+    case Entry::Stage::kOvertaking:
+      return this->overtaking;
+    case Entry::Stage::kLate:
+      return this->late;
+    case Entry::Stage::kLevel:
+      break;
+  }
+  return this->levels[entry.waiting.urgency];
 }
 
 void StartQueue::Add(const Waiting& waiting) {
@@ -35,16 +56,20 @@
     return;
   }
   this->levels[waiting.urgency].Add(waiting.team, item);
-  const Time overtakes_at = OvertakesAt(waiting.submitted, waiting.deadline);
+  const Time overtakes_at = OvertakesAt(waiting);
   Later& later = this->later_work[waiting.urgency][StepOf(overtakes_at)];
   later.work += waiting.expected;
   ++later.tasks;
   this->overtakes_next.insert({overtakes_at, waiting.task});
+  if (waiting.schedule) {
+    this->late_next.insert({waiting.schedule->latest_on_time, waiting.task});
+    this->hopeless_next.insert({waiting.schedule->give_up, waiting.task});
+  }
 }
 
 void StartQueue::LeaveLevel(const Entry& entry) {
   const Waiting& waiting = entry.waiting;
-  const Time overtakes_at = OvertakesAt(waiting.submitted, waiting.deadline);
+  const Time overtakes_at = OvertakesAt(waiting);
   this->overtakes_next.erase({overtakes_at, waiting.task});
   LaterByStep& later = this->later_work[waiting.urgency];
   const auto step = later.find(StepOf(overtakes_at));
@@ -54,16 +79,35 @@
   }
 }
 
+void StartQueue::Move(Entry& entry, Entry::Stage stage, Time rank) {
+  this->QueueOf(entry).Remove(entry.waiting.team, entry.item);
+  if (entry.stage == Entry::Stage::kLevel) {
+    this->LeaveLevel(entry);
+  }
+  entry.stage = stage;
+  entry.item.rank = rank;
+  this->QueueOf(entry).Add(entry.waiting.team, entry.item);
+}
+
 void StartQueue::Advance(Time now) {
   while (!this->overtakes_next.empty() && this->overtakes_next.begin()->first <= now) {
     const auto [overtakes_at, task] = *this->overtakes_next.begin();
-    Entry& entry = this->entries.find(task)->second;
-    this->QueueOf(entry).Remove(entry.waiting.team, entry.item);
-    this->LeaveLevel(entry);
-    entry.overtakes = true;
-    entry.item.rank = overtakes_at;
-    this->QueueOf(entry).Add(entry.waiting.team, entry.item);
+    this->Move(this->entries.find(task)->second, Entry::Stage::kOvertaking, overtakes_at);
+  }
+  while (!this->late_next.empty() && this->late_next.begin()->first < now) {
+    const auto [late_at, task] = *this->late_next.begin();
+    this->late_next.erase(this->late_next.begin());
+    this->Move(this->entries.find(task)->second, Entry::Stage::kLate, late_at);
+  }
+}
+
+std::vector<TaskRef> StartQueue::TakeHopeless(Time now) {
+  std::vector<TaskRef> hopeless;
+  while (!this->hopeless_next.empty() && this->hopeless_next.begin()->first <= now) {
+    hopeless.push_back(this->hopeless_next.begin()->second);
+    this->hopeless_next.erase(this->hopeless_next.begin());
   }
+  return hopeless;
 }
 
 void StartQueue::Remove(const TaskRef& task) { this->Erase(task, false); }
@@ -81,9 +125,13 @@
   } else {
     this->QueueOf(entry).Remove(entry.waiting.team, entry.item);
   }
-  if (!entry.overtakes) {
+  if (entry.stage == Entry::Stage::kLevel) {
     this->LeaveLevel(entry);
   }
+  if (entry.waiting.schedule) {
+    this->late_next.erase({entry.waiting.schedule->latest_on_time, task});
+    this->hopeless_next.erase({entry.waiting.schedule->give_up, task});
+  }
   this->entries.erase(found);
 }
 
@@ -156,7 +204,11 @@
       return task;
     }
     if (this->next_level == this->queue->levels.end()) {
-      return std::nullopt;
+      if (std::exchange(this->late_visited, true)) {
+        return std::nullopt;
+      }
+      this->current = FairQueue::Walk(this->queue->late);
+      continue;
     }
     this->current = FairQueue::Walk(this->next_level->second);
     ++this->next_level;
--- a/src/core/policy/start_queue.h
+++ b/src/core/policy/start_queue.h
@@ -10,9 +10,11 @@
 #include <string_view>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "core/entry/job_table.h"
 #include "core/policy/fair_queue.h"
+#include "core/policy/answer_target.h"
 #include "core/types.h"
 
 namespace quetzalvale {
@@ -31,6 +33,8 @@
     Time deadline{};
     /// Expected run time at speed 1.
     Microseconds expected{0};
+    /// Of tasks whose answer loses its use before the deadline.
+    std::optional<StartSchedule> schedule{};
   };
 
   /// A job that may be submitted, for WorkAhead.
@@ -48,13 +52,19 @@
 
   /// The time at which a task overtakes more urgent ones.
   static Time OvertakesAt(Time submitted, Time deadline);
+  /// The same for a task with a schedule: when waiting longer would make its answer late.
+  static Time OvertakesAt(Time submitted, const StartSchedule& schedule);
 
   /// Does nothing when the task is waiting already.
   void Add(const Waiting& waiting);
 
-  /// Lets tasks overtake whose time has come.
+  /// Lets tasks overtake whose time has come, and puts those behind all others whose answer can only
+  /// be late: in an overload, work that is still of full use goes first.
   void Advance(Time now);
 
+  /// Returns the tasks whose answer can no longer be of use, and forgets that they have a schedule.
+  std::vector<TaskRef> TakeHopeless(Time now);
+
   /// Take is for a task that is placed and charges it to its team. Both do nothing when the task is
   /// not waiting.
   void Remove(const TaskRef& task);
@@ -77,6 +87,7 @@
    private:
     const StartQueue* queue;
     std::map<int, FairQueue>::const_iterator next_level;
+    bool late_visited = false;
     FairQueue::Walk current;
   };
 
@@ -84,7 +95,7 @@
   struct Entry {
     Waiting waiting;
     FairQueue::Item item;
-    bool overtakes = false;
+    enum class Stage { kLevel, kOvertaking, kLate } stage = Stage::kLevel;
   };
   struct Later {
     std::size_t tasks = 0;
@@ -94,6 +105,8 @@
   using LaterByStep = std::map<std::int64_t, Later>;
 
   FairQueue& QueueOf(const Entry& entry);
+  static Time OvertakesAt(const Waiting& waiting);
+  void Move(Entry& entry, Entry::Stage stage, Time rank);
   void LeaveLevel(const Entry& entry);
   /// The part of WorkAhead that fair shares give.
   Microseconds FairWorkAhead(const Newcomer& job) const;
@@ -103,10 +116,15 @@
 
   std::unordered_map<TaskRef, Entry> entries;
   FairQueue overtaking;
+  /// Tasks whose answer can only be late, visited last.
+  FairQueue late;
   /// Tasks that do not overtake yet, by urgency.
   std::map<int, FairQueue> levels;
   std::map<int, LaterByStep> later_work;
   std::set<std::pair<Time, TaskRef>> overtakes_next;
+  /// Scheduled tasks by the time at which they become late, and hopeless.
+  std::set<std::pair<Time, TaskRef>> late_next;
+  std::set<std::pair<Time, TaskRef>> hopeless_next;
 };
 
 }  // namespace quetzalvale
--- a/src/core/service_configuration.h
+++ b/src/core/service_configuration.h
@@ -22,6 +22,11 @@
   Milliseconds expected{100};
   /// Failed runs of one task after which its repeatable job fails.
   std::uint32_t attempts = 1;
+  /// An answer is on time within `target_stretch` times the longest task plus `target_slack`, and of
+  /// use until `late_factor` times that. A stretch of zero means that the deadline alone counts.
+  double target_stretch = 0;
+  Milliseconds target_slack{0};
+  double late_factor = 1;
 };
 
 struct TeamConfiguration {
--- a/src/settings/service_document.cc
+++ b/src/settings/service_document.cc
@@ -23,7 +23,8 @@
     "kinds": {"type": "array", "minItems": 1, "maxItems": 1000,
       "description": "a list of kinds with at least one member",
       "items": {"type": "object", "additionalProperties": false, "required": ["name"],
-        "description": "an object with name, urgency, deadline_ms, expected_ms and attempts",
+        "description": 
+          "an object with name, urgency, deadline_ms, expected_ms, attempts, target_stretch, target_slack_ms and late_factor",
         "properties": {
           "name": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,100}$",
             "description": "1 to 100 letters, digits, dots, hyphens or underscores"},
@@ -34,7 +35,13 @@
           "expected_ms": {"type": "integer", "minimum": 1, "maximum": 86400000,
             "description": "milliseconds, 1 to 86400000"},
           "attempts": {"type": "integer", "minimum": 1, "maximum": 100,
-            "description": "runs of one task, 1 to 100"}}}},
+            "description": "runs of one task, 1 to 100"},
+          "target_stretch": {"type": "number", "minimum": 0, "maximum": 1000,
+            "description": "a multiple of the longest task, 0 (no target) to 1000"},
+          "target_slack_ms": {"type": "integer", "minimum": 0, "maximum": 86400000,
+            "description": "milliseconds, 0 to 86400000"},
+          "late_factor": {"type": "number", "minimum": 1, "maximum": 1000,
+            "description": "a multiple of the target, 1 to 1000"}}}},
     "teams": {"type": "array", "minItems": 1, "maxItems": 10000,
       "description": "a list of teams with at least one member",
       "items": {"type": "object", "additionalProperties": false, "required": ["name"],
@@ -214,6 +221,9 @@
     Read(json, "deadline_ms", kind.deadline);
     Read(json, "expected_ms", kind.expected);
     Read(json, "attempts", kind.attempts);
+    Read(json, "target_stretch", kind.target_stretch);
+    Read(json, "target_slack_ms", kind.target_slack);
+    Read(json, "late_factor", kind.late_factor);
   }
   for (const auto& json : document["teams"]) {
     TeamConfiguration& team = configuration.teams.emplace_back();
