Admit by the expected wait for room, reload settings on SIGHUP

Quotes that miss their deadline mostly started at once, on slow workers: eight of eleven run at less than half of the speed of the other three.

--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -189,6 +189,16 @@
             " away_ms=" + millis(last->ended_at - last->sent_at) +
             " run_ms=" + millis(last->run_time) + " expected_ms=" + millis(last->expected);
   }
+  const auto open = std::ranges::find_if(job.tasks, [](const Task& task) {
+    return task.state == JobTaskState::kSent || task.state == JobTaskState::kWaiting;
+  });
+  if (open != job.tasks.end()) {
+    const Agent* agent = this->directory.Find(open->agent);
+    line += " open_task=" + std::to_string(open - job.tasks.begin()) +
+            " open_at=" + (agent == nullptr ? "entry" : agent->announce.name) + " open_waited_ms=" +
+            millis(open->sent_at == Time{} ? Time::duration{} : open->sent_at - job.submitted) +
+            " open_expected_ms=" + millis(open->expected);
+  }
   this->Log(1010, "job_answered", std::move(line));
 }
 
--- a/src/core/policy/admission.cc
+++ b/src/core/policy/admission.cc
@@ -100,12 +100,9 @@
 std::optional<Error> CheckDeadline(const ServiceConfiguration& configuration,
                                    const RunTimeModel& model, const LoadView& load,
                                    const Submission& submission) {
-  Milliseconds deadline = submission.deadline.count() > 0
-                              ? submission.deadline
-                              : configuration.FindKind(submission.kind)->deadline;
-  if (load.useful_for) {
-    deadline = std::min(deadline, std::chrono::duration_cast<Milliseconds>(*load.useful_for));
-  }
+  const Milliseconds deadline = submission.deadline.count() > 0
+                                    ? submission.deadline
+                                    : configuration.FindKind(submission.kind)->deadline;
   double work = 0;
   double longest = 0;
   for (const TaskSpec& task : submission.tasks) {
@@ -134,6 +131,17 @@
                        " ms; submit again later or with a longer deadline");
 }
 
+std::optional<Error> CheckTarget(const LoadView::Target& target, const Submission& submission) {
+  const Microseconds wait = ExpectedWait(target.room, submission.tasks.size());
+  if (IsWaitAcceptable(wait, target.time, target.longest)) {
+    return std::nullopt;
+  }
+  return MakeError(ErrorKind::kDeadlineUnreachable,
+                   "the job would wait " + std::to_string(wait.count() / 1000) +
+                       " ms for room and is wanted within " +
+                       std::to_string(target.time.count() / 1000) + " ms; submit again later");
+}
+
 }  // namespace
 
 std::optional<Error> CheckAdmission(const ServiceConfiguration& configuration,
@@ -152,7 +160,8 @@
                                                  std::to_string(configuration.limits.queued_tasks) +
                                                  "; submit again later");
   }
-  return CheckDeadline(configuration, model, load, submission);
+  return load.target ? CheckTarget(*load.target, submission)
+                     : CheckDeadline(configuration, model, load, submission);
 }
 
 }  // namespace quetzalvale
--- a/src/core/policy/admission.h
+++ b/src/core/policy/admission.h
@@ -6,6 +6,7 @@
 
 #include "core/messages.h"
 #include "core/policy/run_time_model.h"
+#include "core/policy/start_wait.h"
 #include "core/service_configuration.h"
 
 namespace quetzalvale {
@@ -24,9 +25,15 @@
   /// has waited so long that it overtakes them.
   double urgent_slots = 0;
   Microseconds overtakes_after = Microseconds::max();
-  /// Time until the job's answer is late, when its kind has a target. In an overload a job that can
-  /// only be late takes room from others that would be on time.
-  std::optional<Microseconds> useful_for;
+  /// Set for kinds with a target. In an overload a job that can only be late takes room from others
+  /// that would be on time.
+  struct Target {
+    /// Time within which the answer is on time.
+    Microseconds time{0};
+    Microseconds longest{0};
+    RoomView room;
+  };
+  std::optional<Target> target;
   bool has_agents = false;
 };
 
--- /dev/null
+++ b/src/core/policy/start_wait.cc
@@ -0,0 +1,33 @@
+#include "core/policy/start_wait.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzalvale {
+namespace {
+
+/// Fast endpoints run a task in about this share of its expected time.
+constexpr double kShortRun = 0.75;
+
+/// Share of the target that may be waited whatever the declared run time says.
+constexpr double kAlwaysAcceptable = 0.1;
+
+}  // namespace
+
+Microseconds ExpectedWait(const RoomView& room, std::size_t tasks) {
+  const double mean_run = std::max<double>(1, static_cast<double>(room.mean_run.count()));
+  const double without_room = static_cast<double>(tasks) - room.free_runs;
+  const double work = static_cast<double>(room.queued_work.count()) + without_room * mean_run;
+  if (work <= 0) {
+    return Microseconds{0};
+  }
+  return Microseconds(std::llround(work / std::max(1.0, room.own_runs)));
+}
+
+bool IsWaitAcceptable(Microseconds wait, Microseconds target, Microseconds longest) {
+  const double slack = static_cast<double>(target.count()) - static_cast<double>(longest.count()) * kShortRun;
+  const double least = static_cast<double>(target.count()) * kAlwaysAcceptable;
+  return static_cast<double>(wait.count()) <= std::max(slack, least);
+}
+
+}  // namespace quetzalvale
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -37,6 +37,8 @@
   el::Loggers::setLoggingLevel(ToEasyLevel(lowest));
 }
 
+void SetLogLevel(LogLevel lowest) { el::Loggers::setLoggingLevel(ToEasyLevel(lowest)); }
+
 void Log(LogLevel level, int number, std::string_view name, std::string_view details) {
   const std::string line =
       "event=" + std::to_string(number) + " " + std::string(name) + " " + std::string(details);
--- a/src/runtime/signals.cc
+++ b/src/runtime/signals.cc
@@ -10,6 +10,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -21,10 +22,16 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-void WaitForStopSignal() {
+void WaitForStopSignal(const std::function<void()>& reload) {
   const sigset_t signals = StopSignals();
-  int received = 0;
-  while (sigwait(&signals, &received) != 0) {
+  while (true) {
+    int received = 0;
+    const bool arrived = sigwait(&signals, &received) == 0;
+    if (arrived && received == SIGHUP) {
+      reload();
+    } else if (arrived) {
+      return;
+    }
   }
 }
 
