Place tasks on the slowest worker that is on time

Cause: the earliest finish sent everything to the three fast workers of eleven, so quotes, which only those end in time, started on slow ones.

--- a/src/core/entry/agent_directory.cc
+++ b/src/core/entry/agent_directory.cc
@@ -55,6 +55,17 @@
   this->declared -= other.declared;
 }
 
+Microseconds Agent::MeanRun(Microseconds otherwise) const {
+  if (this->outstanding.empty()) {
+    return otherwise;
+  }
+  Microseconds sum{0};
+  for (const auto& [task, expected] : this->outstanding) {
+    sum += expected;
+  }
+  return sum / static_cast<std::int64_t>(this->outstanding.size());
+}
+
 int Agent::FreeSlots() const {
   return std::max(0, this->announce.load.free_slots - this->unreported.tasks);
 }
--- a/src/core/entry/agent_directory.h
+++ b/src/core/entry/agent_directory.h
@@ -72,6 +72,8 @@
   Unreported unreported;
   WithdrawQueue withdrawals;
 
+  /// Mean expected run time of what is placed there, or `otherwise` when nothing is.
+  Microseconds MeanRun(Microseconds otherwise) const;
   int FreeSlots() const;
   int Queued() const;
   /// The reported free amounts less what was placed since. May be negative.
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -210,6 +210,8 @@
     }
     Candidate candidate = usable[i].candidate;
     candidate.slots = ParallelRuns(CapacityOf(agent.announce.worker), declared);
+    candidate.room_share = static_cast<double>(ParallelRuns(usable[i].free, declared)) /
+                           std::max(1, candidate.slots);
     const bool full = candidate.queued >= queue;
     const bool fits =
         usable[i].finds_out || (usable[i].stale && full) || usable[i].free.Covers(declared);
@@ -219,8 +221,9 @@
     if (!fits || candidate.free_slots <= 0) {
       // On average half a run is left in the slot that frees itself next.
       const double runs = (0.5 + candidate.queued) / std::max(1, candidate.slots);
+      const Microseconds run = job.target ? agent.MeanRun(task.expected) : task.expected;
       candidate.expected_wait = Microseconds(static_cast<std::int64_t>(
-          runs * static_cast<double>(task.expected.count()) / std::max(candidate.speed, 0.01)));
+          runs * static_cast<double>(run.count()) / std::max(candidate.speed, 0.01)));
     }
     if (!fits && candidate.free_slots > 0) {
       choices.short_of_resources.push_back(choices.positions.size());
@@ -243,6 +246,10 @@
   query.expected = task.expected;
   query.time_left = std::chrono::duration_cast<Microseconds>(job.deadline - this->now);
   query.waiting_ahead = waiting_ahead;
+  if (job.target) {
+    query.on_time_left =
+        std::chrono::duration_cast<Microseconds>(job.target->on_time - this->now);
+  }
   const PlacementHook& hook =
       this->placement_override ? this->placement_override : service.placement;
   const auto position = hook(choices.candidates, query, this->random);
--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -1,6 +1,7 @@
 #include "core/policy/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
 
 namespace quetzalvale {
@@ -19,6 +20,12 @@
 /// left on slow endpoints, 0.6 gave 2.1 to 2.7, and 0.75 gave 3.0 with single tasks left waiting.
 constexpr double kWaitAdvantage = 0.6;
 
+/// Messages and hand-over around a run.
+constexpr double kOverheadUs = 12000;
+
+/// Share of an endpoint's room that is free when tasks need not save it for others.
+constexpr double kAmpleRoom = 0.5;
+
 using Choice = std::optional<std::size_t>;
 
 std::size_t Draw(std::size_t count, Random& random) {
@@ -76,6 +83,56 @@
   return chosen;
 }
 
+/// Whether an endpoint has so much room that a task there takes nothing from tasks that need its speed.
+bool HasAmpleRoom(const Candidate& candidate) {
+  return candidate.free_slots > 0 && candidate.room_share >= kAmpleRoom;
+}
+
+/// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a task
+/// goes to the slowest endpoint that still ends it on time, so that the fast ones stay free for those
+/// that need them. Where no endpoint ends it on time, it goes to the one that ends it first.
+Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
+                     Random& random) {
+  const auto target_us = static_cast<double>(query.on_time_left->count());
+  const auto is_better = [&](const Candidate& one, const Candidate& other) {
+    const double one_us = FinishUs(one, query);
+    const double other_us = FinishUs(other, query);
+    const bool one_on_time = one_us + kOverheadUs <= target_us;
+    const bool other_on_time = other_us + kOverheadUs <= target_us;
+    if (one_on_time != other_on_time) return one_on_time;
+    if (!one_on_time) return one_us < other_us;
+    const bool one_free = one.free_slots > 0;
+    if (one_free != (other.free_slots > 0)) return one_free;
+    const bool one_ample = HasAmpleRoom(one);
+    if (one_ample != HasAmpleRoom(other)) return one_ample;
+    return one_ample || !one_free ? one_us < other_us : one_us > other_us;
+  };
+  Choice chosen;
+  std::size_t equal = 0;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const bool better = !chosen || is_better(candidates[i], candidates[*chosen]);
+    const double difference =
+        chosen ? std::abs(FinishUs(candidates[i], query) - FinishUs(candidates[*chosen], query)) : 0;
+    const bool same = chosen && (candidates[i].free_slots > 0) == (candidates[*chosen].free_slots > 0) &&
+                      HasAmpleRoom(candidates[i]) == HasAmpleRoom(candidates[*chosen]) &&
+                      difference <= kEqualFinish * FinishUs(candidates[*chosen], query);
+    if (same) {
+      ++equal;
+      if (Draw(equal, random) == 0) chosen = i;
+    } else if (better) {
+      equal = 1;
+      chosen = i;
+    }
+  }
+  return chosen;
+}
+
+Choice ByTargetOrFinish(std::span<const Candidate> candidates, const PlacementQuery& query,
+                        Random& random) {
+  return query.on_time_left ? SlowestOnTime(candidates, query, random)
+                            : EarliestFinish(candidates, query, random);
+}
+
 Choice RandomChoice(std::span<const Candidate> candidates, const PlacementQuery& /*query*/,
                     Random& random) {
   if (candidates.empty()) return std::nullopt;
@@ -129,7 +186,7 @@
     case PlacementPolicy::kDefault:
       break;
   }
-  return EarliestFinish;
+  return ByTargetOrFinish;
 }
 
 }  // namespace quetzalvale
--- a/src/core/policy/placement.h
+++ b/src/core/policy/placement.h
@@ -23,6 +23,8 @@
   /// The agent's last report, less what this entry has sent since.
   int free_slots = 0;
   int queued = 0;
+  /// Free part of the room for such tasks, 0 to 1.
+  double room_share = 0;
   /// Speed relative to the fleet's mean; 2 means half the run time.
   double speed = 1;
   /// Expected time until a task sent now would start there.
@@ -35,6 +37,8 @@
   /// Expected run time at speed 1.
   Microseconds expected{0};
   Microseconds time_left{0};
+  /// Time within which the task has to end for an answer on time; kinds without a target have none.
+  std::optional<Microseconds> on_time_left{};
   /// Tasks at least as urgent that this entry already left waiting in the same round. They take
   /// the next slots of busy endpoints first.
   std::uint32_t waiting_ahead = 0;
--- a/src/core/policy/run_time_model.cc
+++ b/src/core/policy/run_time_model.cc
@@ -93,6 +93,17 @@
          kind.declared_error < kDeclaredAdvantage * kind.mean_error;
 }
 
+double RunTimeModel::Blended(const KindEstimate& kind, double declared_us) {
+  // Weighs the two predictions by their squared errors, as for independent normal errors.
+  const double by_mean = kind.mean_error * kind.mean_error;
+  const double by_declared = kind.declared_error * kind.declared_error;
+  const double weight = by_mean + by_declared > 0 ? by_mean / (by_mean + by_declared) : 0;
+  const double declared_log = std::log(declared_us) + kind.declared_log;
+  const double blended_log = kind.mean_log + weight * (declared_log - kind.mean_log);
+  // From the typical to the mean run time of the kind.
+  return std::exp(blended_log) * kind.mean_us / std::exp(kind.mean_log);
+}
+
 Microseconds RunTimeModel::Expected(std::string_view kind_name, Microseconds declared) const {
   const auto found = this->kinds.find(kind_name);
   const KindEstimate kind = found == this->kinds.end() ? KindEstimate{} : found->second;
@@ -100,8 +111,8 @@
     return declared.count() > 0 ? declared : Microseconds(std::llround(kind.prior_us));
   }
   double size_us = kind.mean_us;
-  if (declared.count() > 0 && PrefersDeclared(kind)) {
-    size_us = std::clamp(Micros(declared) * kind.declared_factor, kind.mean_us / kDeclaredRange,
+  if (declared.count() > 0 && kind.declared_runs >= kLearnedRuns) {
+    size_us = std::clamp(Blended(kind, Micros(declared)), kind.mean_us / kDeclaredRange,
                          kind.mean_us * kDeclaredRange);
   }
   return Microseconds(std::llround(size_us * std::exp(this->MeanLogSlowness())));
--- a/src/core/policy/run_time_model.h
+++ b/src/core/policy/run_time_model.h
@@ -56,6 +56,8 @@
     double runs = 0;
   };
 
+  /// Expected size from the kind's mean and the declaration, each by how well it has predicted.
+  static double Blended(const KindEstimate& kind, double declared_us);
   static bool PrefersDeclared(const KindEstimate& kind);
   static void LearnDeclared(KindEstimate& kind, double declared_us, double size_us);
   static void LearnMean(KindEstimate& kind, double size_us);
