Start long tasks only where a long run still meets the deadline

Cause: a quote's target grows with its run time but its deadline does not, so an expected run of 1,100 ms on a slow worker looked on time and missed the deadline whenever the task was longer than declared.

--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -215,7 +215,8 @@
     const bool full = candidate.queued >= queue;
     const bool fits =
         usable[i].finds_out || (usable[i].stale && full) || usable[i].free.Covers(declared);
-    if (!fits && full) {
+    candidate.full = !fits && full;
+    if (candidate.full && !job.target) {
       continue;
     }
     if (!fits || candidate.free_slots <= 0) {
@@ -225,10 +226,13 @@
       candidate.expected_wait = Microseconds(static_cast<std::int64_t>(
           runs * static_cast<double>(run.count()) / std::max(candidate.speed, 0.01)));
     }
-    if (!fits && candidate.free_slots > 0) {
+    if (!fits && !full && candidate.free_slots > 0) {
       choices.short_of_resources.push_back(choices.positions.size());
       candidate.free_slots = 0;
     }
+    if (candidate.full) {
+      candidate.free_slots = 0;
+    }
     choices.any_free = choices.any_free || candidate.free_slots > 0;
     choices.positions.push_back(i);
     choices.candidates.push_back(candidate);
@@ -256,7 +260,7 @@
   if (position && *position < choices.positions.size()) {
     return choices.positions[*position];
   }
-  if (choices.any_free || choices.short_of_resources.empty()) {
+  if (job.target || choices.any_free || choices.short_of_resources.empty()) {
     return std::nullopt;
   }
   // At the entry it would wait behind every smaller task that fits; an agent's queue reserves what
--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -23,6 +23,9 @@
 /// Messages and hand-over around a run.
 constexpr double kOverheadUs = 12000;
 
+/// One task in ten runs longer than this multiple of its expected time.
+constexpr double kLongRun = 1.45;
+
 /// Share of an endpoint's room that is free when tasks need not save it for others.
 constexpr double kAmpleRoom = 0.5;
 
@@ -88,42 +91,61 @@
   return candidate.free_slots > 0 && candidate.room_share >= kAmpleRoom;
 }
 
+/// Whether a task there ends on time, and before the deadline also when it runs for longer than
+/// expected. A target grows with the task; the deadline does not.
+bool EndsOnTime(const Candidate& candidate, const PlacementQuery& query) {
+  const double finish_us = FinishUs(candidate, query) + kOverheadUs;
+  const double long_run_us = finish_us + (kLongRun - 1) * RunUs(candidate, query);
+  return finish_us <= static_cast<double>(query.on_time_left->count()) &&
+         long_run_us <= static_cast<double>(query.time_left.count());
+}
+
+/// How good an endpoint is for a task with a target; lower is better, compared in order.
+struct Preference {
+  bool late = false;
+  bool busy = false;
+  bool scarce = false;
+  /// Expected finish; of endpoints with little room that end the task on time, its negative.
+  double order_us = 0;
+
+  auto operator<=>(const Preference&) const = default;
+};
+
+Preference Prefer(const Candidate& candidate, const PlacementQuery& query) {
+  const double finish_us = FinishUs(candidate, query);
+  if (!EndsOnTime(candidate, query)) {
+    return {true, candidate.full, false, finish_us};
+  }
+  const bool busy = candidate.free_slots <= 0;
+  const bool scarce = !busy && !HasAmpleRoom(candidate);
+  return {false, busy, scarce, scarce ? -finish_us : finish_us};
+}
+
 /// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a task
 /// goes to the slowest endpoint that still ends it on time, so that the fast ones stay free for those
-/// that need them. Where no endpoint ends it on time, it goes to the one that ends it first.
+/// that need them. Where no endpoint ends it on time, it goes to the one that ends it first. Endpoints
+/// that are about equal are drawn from evenly, or entries would collide there.
 Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
                      Random& random) {
-  const auto target_us = static_cast<double>(query.on_time_left->count());
-  const auto is_better = [&](const Candidate& one, const Candidate& other) {
-    const double one_us = FinishUs(one, query);
-    const double other_us = FinishUs(other, query);
-    const bool one_on_time = one_us + kOverheadUs <= target_us;
-    const bool other_on_time = other_us + kOverheadUs <= target_us;
-    if (one_on_time != other_on_time) return one_on_time;
-    if (!one_on_time) return one_us < other_us;
-    const bool one_free = one.free_slots > 0;
-    if (one_free != (other.free_slots > 0)) return one_free;
-    const bool one_ample = HasAmpleRoom(one);
-    if (one_ample != HasAmpleRoom(other)) return one_ample;
-    return one_ample || !one_free ? one_us < other_us : one_us > other_us;
-  };
+  std::optional<Preference> best;
+  for (const Candidate& candidate : candidates) {
+    const Preference preference = Prefer(candidate, query);
+    if (!best || preference < *best) best = preference;
+  }
   Choice chosen;
   std::size_t equal = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const bool better = !chosen || is_better(candidates[i], candidates[*chosen]);
-    const double difference =
-        chosen ? std::abs(FinishUs(candidates[i], query) - FinishUs(candidates[*chosen], query)) : 0;
-    const bool same = chosen && (candidates[i].free_slots > 0) == (candidates[*chosen].free_slots > 0) &&
-                      HasAmpleRoom(candidates[i]) == HasAmpleRoom(candidates[*chosen]) &&
-                      difference <= kEqualFinish * FinishUs(candidates[*chosen], query);
-    if (same) {
+    Preference preference = Prefer(candidates[i], query);
+    const double difference = std::abs(preference.order_us - best->order_us);
+    preference.order_us = best->order_us;
+    if (preference == *best && difference <= kEqualFinish * std::abs(best->order_us)) {
       ++equal;
       if (Draw(equal, random) == 0) chosen = i;
-    } else if (better) {
-      equal = 1;
-      chosen = i;
     }
   }
+  if (chosen && candidates[*chosen].full) {
+    return std::nullopt;
+  }
   return chosen;
 }
 
--- a/src/core/policy/placement.h
+++ b/src/core/policy/placement.h
@@ -25,6 +25,8 @@
   int queued = 0;
   /// Free part of the room for such tasks, 0 to 1.
   double room_share = 0;
+  /// Neither room nor a place in the agent's queue is free: the task can only wait for it.
+  bool full = false;
   /// Speed relative to the fleet's mean; 2 means half the run time.
   double speed = 1;
   /// Expected time until a task sent now would start there.
