--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -195,7 +195,8 @@
   // Starts (entry_core_starts.cc).
   static void QueueTask(ServiceState& service, const Job& job, std::uint32_t index);
   void PlaceTasks(ServiceState& service);
-  /// Fails the jobs with a waiting task that can no longer be of use, rather than at their deadline.
+  /// Fails the jobs with a waiting task that can no longer be of use, rather than at their
+  /// deadline.
   void GiveUpHopeless(ServiceState& service);
   std::vector<Usable> UsableAgents(ServiceState& service);
   bool MakeUsable(ServiceState& service, Agent& agent, Usable& usable);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -143,8 +143,8 @@
     return;
   }
   const auto ran = [](const Task& task) {
-    return task.runs || task.ran_before || task.state == JobTaskState::kDone || task.state == JobTaskState::kFailed ||
-           task.state == JobTaskState::kUnknown;
+    return task.runs || task.ran_before || task.state == JobTaskState::kDone ||
+           task.state == JobTaskState::kFailed || task.state == JobTaskState::kUnknown;
   };
   const bool any_ran = std::ranges::any_of(job.tasks, ran);
   if (!any_ran && job.open > 0 && !job.IsRepeatable() && this->now < job.failure->until) {
@@ -199,7 +199,7 @@
             millis(open->sent_at == Time{} ? Time::duration{} : open->sent_at - job.submitted) +
             " open_expected_ms=" + millis(open->expected);
   }
-  this->Log(1010, "job_answered", std::move(line));
+  this->Log(1040, "job_answered", std::move(line));
 }
 
 void EntryCore::AnswerJob(Job& job, Answer answer) {
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -117,9 +117,9 @@
   for (const TaskRef& ref : service.queue.TakeHopeless(this->now)) {
     Job* job = this->jobs.Find(ref.job);
     if (job != nullptr && !job->failure) {
-      this->FailJob(*job, "too_late",
-                    "the answer can no longer be of use; submit the job again when there is less load",
-                    true);
+      this->FailJob(
+          *job, "too_late",
+          "the answer can no longer be of use; submit the job again when there is less load", true);
     }
   }
 }
@@ -136,12 +136,8 @@
 }
 
 void EntryCore::QueueTask(ServiceState& service, const Job& job, std::uint32_t index) {
-  StartQueue::Waiting waiting{{job.id, index},
-                              job.urgency,
-                              job.team,
-                              job.submitted,
-                              job.deadline,
-                              job.tasks[index].expected};
+  StartQueue::Waiting waiting{{job.id, index}, job.urgency,  job.team,
+                              job.submitted,   job.deadline, job.tasks[index].expected};
   if (job.target) {
     waiting.schedule = ScheduleOf(*job.target, waiting.expected);
   }
@@ -210,8 +206,8 @@
     }
     Candidate candidate = usable[i].candidate;
     candidate.slots = ParallelRuns(CapacityOf(agent.announce.worker), declared);
-    candidate.room_share = static_cast<double>(ParallelRuns(usable[i].free, declared)) /
-                           std::max(1, candidate.slots);
+    candidate.room_share =
+        static_cast<double>(ParallelRuns(usable[i].free, declared)) / std::max(1, candidate.slots);
     const bool full = candidate.queued >= queue;
     const bool fits =
         usable[i].finds_out || (usable[i].stale && full) || usable[i].free.Covers(declared);
@@ -251,8 +247,7 @@
   query.time_left = std::chrono::duration_cast<Microseconds>(job.deadline - this->now);
   query.waiting_ahead = waiting_ahead;
   if (job.target) {
-    query.on_time_left =
-        std::chrono::duration_cast<Microseconds>(job.target->on_time - this->now);
+    query.on_time_left = std::chrono::duration_cast<Microseconds>(job.target->on_time - this->now);
   }
   const PlacementHook& hook =
       this->placement_override ? this->placement_override : service.placement;
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -336,7 +336,8 @@
       continue;
     }
     const int slots = ParallelRuns(CapacityOf(agent.announce.worker), typical);
-    const int free = ParallelRuns(ReportedFree(agent.announce.worker, agent.announce.load), typical);
+    const int free =
+        ParallelRuns(ReportedFree(agent.announce.worker, agent.announce.load), typical);
     room.free_runs += ParallelRuns(agent.Free(), typical);
     const int own = static_cast<int>(agent.outstanding.size());
     const int others = std::clamp(slots - free - own, 0, slots);
@@ -369,7 +370,8 @@
   if (load.target) {
     room.queued_work = load.queued_work;
     room.mean_run = room.own_runs > 0
-                        ? Microseconds(std::llround(static_cast<double>(load.outstanding_work.count()) / room.own_runs))
+                        ? Microseconds(std::llround(
+                              static_cast<double>(load.outstanding_work.count()) / room.own_runs))
                         : load.target->longest;
     load.target->room = room;
   }
--- a/src/core/entry/service_state.cc
+++ b/src/core/entry/service_state.cc
@@ -33,7 +33,7 @@
                          this->configuration->health.probe_after);
   this->retry_budget.SetShare(this->configuration->retry_share);
   for (const KindConfiguration& kind : this->configuration->kinds) {
-    this->model.SetPrior(kind.name, kind.expected);
+    this->model.SetPrior(kind.name, kind.expected, kind.honest_sizes);
   }
   for (const TeamConfiguration& team : this->configuration->teams) {
     this->quotas.SetQuota(team.name, team.tasks_per_second);
--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -86,7 +86,8 @@
   return chosen;
 }
 
-/// Whether an endpoint has so much room that a task there takes nothing from tasks that need its speed.
+/// Whether an endpoint has so much room that a task there takes nothing from tasks that need its
+/// speed.
 bool HasAmpleRoom(const Candidate& candidate) {
   return candidate.free_slots > 0 && candidate.room_share >= kAmpleRoom;
 }
@@ -121,10 +122,10 @@
   return {false, busy, scarce, scarce ? -finish_us : finish_us};
 }
 
-/// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a task
-/// goes to the slowest endpoint that still ends it on time, so that the fast ones stay free for those
-/// that need them. Where no endpoint ends it on time, it goes to the one that ends it first. Endpoints
-/// that are about equal are drawn from evenly, or entries would collide there.
+/// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a
+/// task goes to the slowest endpoint that still ends it on time, so that the fast ones stay free
+/// for those that need them. Where no endpoint ends it on time, it goes to the one that ends it
+/// first. Endpoints that are about equal are drawn from evenly, or entries would collide there.
 Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
                      Random& random) {
   std::optional<Preference> best;
--- a/src/core/policy/run_time_model.cc
+++ b/src/core/policy/run_time_model.cc
@@ -33,8 +33,10 @@
 
 }  // namespace
 
-void RunTimeModel::SetPrior(std::string_view kind, Microseconds expected) {
-  this->kinds[std::string(kind)].prior_us = Micros(expected);
+void RunTimeModel::SetPrior(std::string_view kind, Microseconds expected, bool honest) {
+  KindEstimate& estimate = this->kinds[std::string(kind)];
+  estimate.prior_us = Micros(expected);
+  estimate.honest = honest;
 }
 
 void RunTimeModel::Observe(std::string_view kind_name, std::string_view endpoint_name,
@@ -108,12 +110,16 @@
   const auto found = this->kinds.find(kind_name);
   const KindEstimate kind = found == this->kinds.end() ? KindEstimate{} : found->second;
   if (kind.runs == 0) {
-    return declared.count() > 0 ? declared : Microseconds(std::llround(kind.prior_us));
+    const bool use_declared = kind.honest && declared.count() > 0;
+    return use_declared ? declared : Microseconds(std::llround(kind.prior_us));
   }
   double size_us = kind.mean_us;
-  if (declared.count() > 0 && kind.declared_runs >= kLearnedRuns) {
+  if (declared.count() > 0 && kind.honest && kind.declared_runs >= kLearnedRuns) {
     size_us = std::clamp(Blended(kind, Micros(declared)), kind.mean_us / kDeclaredRange,
                          kind.mean_us * kDeclaredRange);
+  } else if (declared.count() > 0 && PrefersDeclared(kind)) {
+    size_us = std::clamp(Micros(declared) * kind.declared_factor, kind.mean_us / kDeclaredRange,
+                         kind.mean_us * kDeclaredRange);
   }
   return Microseconds(std::llround(size_us * std::exp(this->MeanLogSlowness())));
 }
--- a/src/core/policy/run_time_model.h
+++ b/src/core/policy/run_time_model.h
@@ -16,7 +16,9 @@
 class RunTimeModel {
  public:
   /// Sets the prior of a kind, used until runs have been seen.
-  void SetPrior(std::string_view kind, Microseconds expected);
+  /// `honest` kinds have declarations that are rough but not misleading: they are used before runs
+  /// have been seen, and later together with the mean, each by how well it has predicted.
+  void SetPrior(std::string_view kind, Microseconds expected, bool honest = false);
 
   /// Learns from a task that ran to its end without failing. `declared` is zero when the caller
   /// gave none.
@@ -38,6 +40,7 @@
  private:
   struct KindEstimate {
     double prior_us = 100000;
+    bool honest = false;
     double runs = 0;
     /// Means of the run time at raw slowness 1, and of its logarithm.
     double mean_us = 0;
--- a/src/core/policy/start_queue.h
+++ b/src/core/policy/start_queue.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "core/entry/job_table.h"
-#include "core/policy/fair_queue.h"
 #include "core/policy/answer_target.h"
+#include "core/policy/fair_queue.h"
 #include "core/types.h"
 
 namespace quetzalvale {
@@ -58,8 +58,8 @@
   /// Does nothing when the task is waiting already.
   void Add(const Waiting& waiting);
 
-  /// Lets tasks overtake whose time has come, and puts those behind all others whose answer can only
-  /// be late: in an overload, work that is still of full use goes first.
+  /// Lets tasks overtake whose time has come, and puts those behind all others whose answer can
+  /// only be late: in an overload, work that is still of full use goes first.
   void Advance(Time now);
 
   /// Returns the tasks whose answer can no longer be of use, and forgets that they have a schedule.
--- a/src/core/policy/start_wait.cc
+++ b/src/core/policy/start_wait.cc
@@ -25,7 +25,8 @@
 }
 
 bool IsWaitAcceptable(Microseconds wait, Microseconds target, Microseconds longest) {
-  const double slack = static_cast<double>(target.count()) - static_cast<double>(longest.count()) * kShortRun;
+  const double slack =
+      static_cast<double>(target.count()) - static_cast<double>(longest.count()) * kShortRun;
   const double least = static_cast<double>(target.count()) * kAlwaysAcceptable;
   return static_cast<double>(wait.count()) <= std::max(slack, least);
 }
--- a/src/core/policy/start_wait.h
+++ b/src/core/policy/start_wait.h
@@ -18,9 +18,9 @@
   Microseconds queued_work{0};
 };
 
-/// Returns the expected time until the last of the tasks starts. Nothing waits while there is room for
-/// all; beyond that, room appears as this entry's own runs end, because what the other entries' runs
-/// leave goes to their own waiting tasks.
+/// Returns the expected time until the last of the tasks starts. Nothing waits while there is room
+/// for all; beyond that, room appears as this entry's own runs end, because what the other entries'
+/// runs leave goes to their own waiting tasks.
 Microseconds ExpectedWait(const RoomView& room, std::size_t tasks);
 
 /// Whether waiting that long still gives an answer on time. `target` is the time within which the
--- a/src/core/service_configuration.h
+++ b/src/core/service_configuration.h
@@ -20,10 +20,12 @@
   Milliseconds deadline{10000};
   /// Prior for the run time until runs have been seen.
   Milliseconds expected{100};
+  /// Declared run times are rough but not misleading; see RunTimeModel::SetPrior.
+  bool honest_sizes = false;
   /// Failed runs of one task after which its repeatable job fails.
   std::uint32_t attempts = 1;
-  /// An answer is on time within `target_stretch` times the longest task plus `target_slack`, and of
-  /// use until `late_factor` times that. A stretch of zero means that the deadline alone counts.
+  /// An answer is on time within `target_stretch` times the longest task plus `target_slack`, and
+  /// of use until `late_factor` times that. A stretch of zero means that the deadline alone counts.
   double target_stretch = 0;
   Milliseconds target_slack{0};
   double late_factor = 1;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -34,6 +34,10 @@
 /// Far above the headers of every caller.
 constexpr std::uint32_t kMaxHeaderBytes = 64U << 10U;
 
+/// How long the end of a refused request is waited for.
+constexpr std::chrono::seconds kLinger{5};
+constexpr std::size_t kDiscardBytes = 16U << 10U;
+
 constexpr unsigned int kHttp11 = 11;
 
 HttpResponse TooLarge(std::size_t limit) {
@@ -258,13 +262,29 @@
 
   void Written(beast::error_code error) {
     this->server->Ended();
-    if (error || !this->keep_alive) {
+    if (error) {
       this->Close();
+    } else if (!this->keep_alive) {
+      beast::error_code ignored;
+      this->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+      this->stream.expires_after(kLinger);
+      this->Discard();
     } else {
       this->Read();
     }
   }
 
+  /// Reads what the peer still sends. A connection closed with unread bytes is reset, and the peer
+  /// may then lose the response.
+  void Discard() {
+    this->buffer.clear();
+    this->stream.async_read_some(
+        this->buffer.prepare(kDiscardBytes),
+        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+          error ? self->Close() : self->Discard();
+        });
+  }
+
   beast::tcp_stream stream;
   std::shared_ptr<State> server;
   beast::flat_buffer buffer;
--- a/src/runtime/signals.h
+++ b/src/runtime/signals.h
@@ -5,8 +5,8 @@
 
 namespace quetzalvale {
 
-/// Blocks SIGTERM, SIGINT and SIGHUP (and SIGPIPE) in the calling thread and in all threads that it starts
-/// later. Call first thing in main.
+/// Blocks SIGTERM, SIGINT and SIGHUP (and SIGPIPE) in the calling thread and in all threads that it
+/// starts later. Call first thing in main.
 void BlockStopSignals();
 
 /// Waits until SIGTERM or SIGINT arrives, and calls `reload` at each SIGHUP. Precondition:
--- a/src/settings/service_document.cc
+++ b/src/settings/service_document.cc
@@ -24,7 +24,7 @@
       "description": "a list of kinds with at least one member",
       "items": {"type": "object", "additionalProperties": false, "required": ["name"],
         "description": 
-          "an object with name, urgency, deadline_ms, expected_ms, attempts, target_stretch, target_slack_ms and late_factor",
+          "an object with name, urgency, deadline_ms, expected_ms, honest_sizes, attempts, target_stretch, target_slack_ms and late_factor",
         "properties": {
           "name": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,100}$",
             "description": "1 to 100 letters, digits, dots, hyphens or underscores"},
@@ -34,6 +34,7 @@
             "description": "milliseconds, 1 to 86400000"},
           "expected_ms": {"type": "integer", "minimum": 1, "maximum": 86400000,
             "description": "milliseconds, 1 to 86400000"},
+          "honest_sizes": {"type": "boolean", "description": "true or false"},
           "attempts": {"type": "integer", "minimum": 1, "maximum": 100,
             "description": "runs of one task, 1 to 100"},
           "target_stretch": {"type": "number", "minimum": 0, "maximum": 1000,
@@ -220,6 +221,7 @@
     Read(json, "urgency", kind.urgency);
     Read(json, "deadline_ms", kind.deadline);
     Read(json, "expected_ms", kind.expected);
+    Read(json, "honest_sizes", kind.honest_sizes);
     Read(json, "attempts", kind.attempts);
     Read(json, "target_stretch", kind.target_stretch);
     Read(json, "target_slack_ms", kind.target_slack);
--- /dev/null
+++ b/tests/adapter/libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(adapter_test PRIVATE quetzalvale_platform)
--- /dev/null
+++ b/tests/adapter/wire_test.cc
@@ -0,0 +1,122 @@
+#include "platform/wire.h"
+
+#include <gtest/gtest.h>
+
+#include "protocol/codec.h"
+#include "settings/service_document.h"
+
+namespace quetzalvale::platform {
+namespace {
+
+const QueueRoute kRoute{"r-1", "h.example", "/q/",           "svc", 1, Milliseconds(1500),
+                        2,     1.6,         Milliseconds(60)};
+constexpr char kName[] = "5c0e7a21d94b36f8";
+
+template <typename T>
+ErrorKind KindOf(const Result<T>& result) {
+  return IsOk(result) ? ErrorKind::kInternal : GetError(result).kind;
+}
+
+TEST(WireTest, DecodesAJobAndNamesItsTasks) {
+  const auto decoded = DecodeJob(
+      kRoute, kName,
+      R"({"spec":"a \"b\"","best_effort":true,"steps":[{"count":2,"cpu":500,"mem_mb":256,"est_ms":90}]})");
+  ASSERT_TRUE(IsOk(decoded));
+  const auto& job = std::get<Submission>(decoded);
+  EXPECT_EQ(job.name, kName);
+  EXPECT_EQ(job.kind, "r-1");
+  ASSERT_EQ(job.tasks.size(), 2U);
+  EXPECT_DOUBLE_EQ(job.tasks[1].cores, 0.5);
+  EXPECT_EQ(job.tasks[1].memory_mb, 256);
+  EXPECT_EQ(job.tasks[1].declared, Milliseconds(90));
+  const auto order = DecodeTaskOrder(job.tasks[1].payload);
+  ASSERT_TRUE(IsOk(order));
+  EXPECT_EQ(std::get<TaskOrder>(order).task, std::string(kName) + ".0.0.1");
+  EXPECT_EQ(std::get<TaskOrder>(order).spec, "a \"b\"");
+}
+
+// A job that must be kept, answered 2xx without being stored, would be lost.
+TEST(WireTest, JobsThatAreNotServedYetAreToldApartFromMalformedOnes) {
+  const auto kind = [](const char* body) { return KindOf(DecodeJob(kRoute, kName, body)); };
+  EXPECT_EQ(kind(R"({"spec":"x","steps":[{"count":1}]})"), ErrorKind::kNotReady);
+  EXPECT_EQ(kind(R"({"best_effort":true,"steps":[{"count":1},{"count":1,"after":[0]}]})"),
+            ErrorKind::kNotReady);
+  EXPECT_EQ(kind(R"({"best_effort":true,"steps":[{"count":2,"gang":true}]})"),
+            ErrorKind::kNotReady);
+  EXPECT_EQ(kind(R"({"best_effort":true,"steps":[{"count":0}]})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind(R"({"best_effort":true,"steps":"all"})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind("not json"), ErrorKind::kMalformed);
+}
+
+TEST(WireTest, ConfigurationBecomesValidServiceDocuments) {
+  const auto decoded = DecodeOperatorConfiguration(
+      R"({"version":7,"limits":{"max_body_bytes":262144},"routes":[
+        {"name":"r-1","host":"a","prefix":"/p/","service":"s1","timeout_ms":1500,"slo_ms":60,
+         "priority":2,"max_attempts":2,"stretch":1.6,"unknown":[1]},
+        {"name":"broken","prefix":7},
+        {"name":"r-2","host":"a","prefix":"/q/","service":"s2"}]})");
+  ASSERT_TRUE(IsOk(decoded));
+  const auto& configuration = std::get<OperatorConfiguration>(decoded);
+  EXPECT_EQ(configuration.version, 7U);
+  ASSERT_EQ(configuration.routes.size(), 2U);
+  const auto documents = ServiceDocuments(configuration, Milliseconds(1000));
+  ASSERT_EQ(documents.size(), 2U);
+  for (const auto& [service, document] : documents) {
+    const auto made = DecodeServiceDocument(document, service);
+    ASSERT_TRUE(IsOk(made)) << GetError(made).message;
+  }
+  const auto first = std::get<0>(DecodeServiceDocument(documents.at("s1"), "s1"));
+  ASSERT_NE(first.FindKind("r-1"), nullptr);
+  EXPECT_EQ(first.FindKind("r-1")->urgency, 2);
+  EXPECT_EQ(first.FindKind("r-1")->attempts, 2U);
+  EXPECT_EQ(first.FindKind("r-1")->target_slack, Milliseconds(60));
+}
+
+TEST(WireTest, ReportsOfAnotherWriterNameNoWorker) {
+  const auto kind = [](const char* body) { return KindOf(DecodeWorkerReport("i-1", body)); };
+  EXPECT_EQ(kind(R"({"service":"s","state":"resting","capacity":{}})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind(R"({"service":5,"state":"ready","capacity":{}})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind(R"({"service":"s","state":"ready"})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind("[]"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind("\xff\xfe"), ErrorKind::kMalformed);
+  const auto report = DecodeWorkerReport(
+      "i-1",
+      R"({"service":"s","state":"draining","born":5,"seq":9,"capacity":{"cpu":16000,"mem_mb":8}})");
+  ASSERT_TRUE(IsOk(report));
+  EXPECT_TRUE(std::get<WorkerReport>(report).draining);
+  EXPECT_DOUBLE_EQ(std::get<WorkerReport>(report).capacity.cores, 16);
+}
+
+TEST(WireTest, ListsLeaveOutWhatIsNotWellFormed) {
+  const auto decoded = DecodeWorkerLists(
+      R"({"clock_ms":42,"running":[["t",2,"",1],["u"],5],"ended":[[1,"v",3,"done",""],[2,"w",1,"lapsed",""],["x"]]})");
+  ASSERT_TRUE(IsOk(decoded));
+  const auto& lists = std::get<WorkerLists>(decoded);
+  EXPECT_EQ(lists.clock, Milliseconds(42));
+  EXPECT_EQ(lists.running, (std::vector<RunName>{{"t", 2}}));
+  ASSERT_EQ(lists.ended.size(), 2U);
+  EXPECT_EQ(lists.ended[0].how, RunEnd::kDone);
+  EXPECT_EQ(lists.ended[1].how, RunEnd::kInterrupted);
+}
+
+TEST(WireTest, RowsRoundTripAndUnreadableOnesAreCounted) {
+  int unreadable = 0;
+  const auto decoded = DecodeStoreRows(
+      R"({"ver":9,"rows":[{"key":"a","value":"bm9kZS0x","ver":3},{"key":"b","value":"*","ver":4},
+          {"key":"c","removed":true,"ver":5}]})",
+      &unreadable);
+  ASSERT_TRUE(IsOk(decoded));
+  const auto& rows = std::get<StoreRows>(decoded);
+  EXPECT_EQ(unreadable, 1);
+  ASSERT_EQ(rows.rows.size(), 2U);
+  EXPECT_EQ(rows.rows[0].value, "node-1");
+  EXPECT_TRUE(rows.rows[1].removed);
+  const auto written = ReadJson(WriteRowBody("entries", "k", "node-1", 3));
+  ASSERT_TRUE(IsOk(written));
+  const auto& body = std::get<Json::Value>(written);
+  EXPECT_EQ(body["writes"][0]["value"].asString(), "bm9kZS0x");
+  EXPECT_EQ(body["expect"][0]["ver"].asUInt64(), 3U);
+}
+
+}  // namespace
+}  // namespace quetzalvale::platform
--- a/tests/agent_program/agent_process_test.cc
+++ b/tests/agent_program/agent_process_test.cc
@@ -1,8 +1,8 @@
 #include "agent/agent_process.h"
-#include "http/http_client.h"
 
 #include <gtest/gtest.h>
 
+#include "http/http_client.h"
 #include "protocol/codec.h"
 #include "protocol/rpc_client.h"
 #include "runtime/ring.h"
--- a/tests/docs/events_test.py
+++ b/tests/docs/events_test.py
@@ -12,7 +12,7 @@
 
 def logged_events():
     events = set()
-    for path in sorted((ROOT / "src").rglob("*.cc")):
+    for path in sorted([*(ROOT / "src").rglob("*.cc"), *(ROOT / "platform").rglob("*.cc")]):
         events.update(LOGGED.findall(path.read_text(encoding="utf-8")))
     return events
 
