Let repeatable jobs use agents that came after their submission

Cause: a job used only agents of its ticket's roster, which exists for salvage. A repeatable job is salvaged by nobody, but its tasks waited up to their deadline when their agent was replaced.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -189,6 +189,9 @@
   void EraseIfEnded(std::uint64_t job);
   void OnJobDue(std::uint64_t id);
   void RefuseHopelessJobs(ServiceState& service);
+  /// Whether the job's ticket allows the agent. Nobody salvages a repeatable job, so that it may
+  /// also use agents that came later.
+  static bool MayUse(const Job& job, const Agent& agent);
   bool HasPossibleAgent(const Job& job) const;
   void Count(const Answer& answer);
 
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -242,11 +242,15 @@
                 job->IsRepeatable());
 }
 
+bool EntryCore::MayUse(const Job& job, const Agent& agent) {
+  return job.IsRepeatable() || agent.first_roster <= job.ticket.roster;
+}
+
 bool EntryCore::HasPossibleAgent(const Job& job) const {
   return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
     const Agent& agent = element.second;
     return agent.member && !agent.leaving && agent.announce.service == job.ticket.service &&
-           agent.first_roster <= job.ticket.roster &&
+           MayUse(job, agent) &&
            std::ranges::find(job.excluded, element.first) == job.excluded.end();
   });
 }
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -194,8 +194,7 @@
   const int queue = static_cast<int>(service.configuration->agent_queue);
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const Agent& agent = *usable[i].agent;
-    if (agent.first_roster > job.ticket.roster ||
-        !CapacityOf(agent.announce.worker).Covers(declared) ||
+    if (!MayUse(job, agent) || !CapacityOf(agent.announce.worker).Covers(declared) ||
         Contains(job.excluded, agent.announce.agent) ||
         (avoid && Contains(task.failed_on, agent.announce.agent))) {
       continue;
--- a/tests/core/start_queue_test.cc
+++ b/tests/core/start_queue_test.cc
@@ -165,5 +165,47 @@
   EXPECT_EQ(walked.size(), in.size());
 }
 
+StartQueue::Waiting Scheduled(std::uint64_t job, int urgency, Milliseconds on_time,
+                              Milliseconds give_up) {
+  StartQueue::Waiting waiting = Make(job, urgency, kStart + kDeadline, 10);
+  waiting.schedule = StartSchedule{kStart + on_time, kStart + give_up};
+  return waiting;
+}
+
+// Pattern: a burst. Work that can only be late must not go before work that can still be on time,
+// or everything is served late.
+TEST(StartQueueTest, LateTasksGoBehindAllOthers) {
+  StartQueue queue;
+  queue.Add(Scheduled(1, 0, Milliseconds(100), Milliseconds(400)));
+  queue.Add(Scheduled(2, 2, Milliseconds(500), Milliseconds(900)));
+  EXPECT_EQ(Order(queue), (std::vector<std::uint64_t>{1, 2}));
+  queue.Advance(kStart + Milliseconds(101));
+  EXPECT_EQ(Order(queue), (std::vector<std::uint64_t>{2, 1}));
+}
+
+TEST(StartQueueTest, ScheduledTaskOvertakesShortlyBeforeItWouldBeLate) {
+  StartQueue queue;
+  queue.Add(Scheduled(1, 2, Milliseconds(100), Milliseconds(400)));
+  queue.Add(Scheduled(2, 0, Milliseconds(5000), Milliseconds(9000)));
+  queue.Advance(kStart + Milliseconds(79));
+  EXPECT_EQ(Order(queue).front(), 2U);
+  queue.Advance(kStart + Milliseconds(80));
+  EXPECT_EQ(Order(queue).front(), 1U);
+}
+
+// A job that nobody can use any more must not wait for its deadline and take room from others.
+TEST(StartQueueTest, HopelessTasksAreReturnedOnce) {
+  StartQueue queue;
+  queue.Add(Scheduled(1, 0, Milliseconds(100), Milliseconds(400)));
+  queue.Add(Scheduled(2, 0, Milliseconds(100), Milliseconds(300)));
+  queue.Take({2, 0});
+  EXPECT_TRUE(queue.TakeHopeless(kStart + Milliseconds(399)).empty());
+  EXPECT_EQ(queue.TakeHopeless(kStart + Milliseconds(400)), (std::vector<TaskRef>{{1, 0}}));
+  EXPECT_TRUE(queue.TakeHopeless(kStart + Milliseconds(500)).empty());
+  queue.Advance(kStart + Milliseconds(500));
+  queue.Remove({1, 0});
+  EXPECT_EQ(queue.Size(), 0U);
+}
+
 }  // namespace
 }  // namespace quetzalvale
--- /dev/null
+++ b/tests/http/http_server_test.cc
@@ -0,0 +1,160 @@
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <memory>
+#include <utility>
+
+#include "http/http_session.h"
+#include "tests/support/loopback_address.h"
+
+namespace quetzalvale {
+namespace {
+
+constexpr std::chrono::seconds kPatience{20};
+
+/// A connection whose bytes the test writes itself.
+class RawClient {
+ public:
+  explicit RawClient(const std::string& address) : socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port =
+        htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+    inet_pton(AF_INET, address.substr(0, address.find(':')).c_str(), &to.sin_addr);
+    EXPECT_EQ(connect(this->socket, reinterpret_cast<sockaddr*>(&to), sizeof(to)), 0);
+  }
+  ~RawClient() { this->Close(); }
+
+  void Send(const std::string& bytes) {
+    EXPECT_EQ(::send(this->socket, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(bytes.size()));
+  }
+
+  std::string Receive() {
+    char buffer[4096];
+    const ssize_t size = ::recv(this->socket, buffer, sizeof(buffer), 0);
+    return {buffer, static_cast<std::size_t>(std::max<ssize_t>(0, size))};
+  }
+
+  void Close() {
+    if (this->socket >= 0) ::close(std::exchange(this->socket, -1));
+  }
+
+ private:
+  int socket;
+};
+
+class HttpServerTest : public testing::Test {
+ protected:
+  void Start(HttpHandler handler) {
+    this->server = std::make_unique<HttpServer>(
+        this->address, [] { return std::size_t{1000}; }, std::move(handler));
+    this->server->SetAbandoned(
+        [this](std::uint64_t exchange) { this->abandoned.set_value(exchange); });
+    ASSERT_EQ(this->server->Start(), "");
+  }
+
+  std::string address = NextLoopbackAddress();
+  std::promise<std::uint64_t> abandoned;
+  std::unique_ptr<HttpServer> server;
+};
+
+// A caller that closed its connection submits its job elsewhere; what runs for it has to be
+// stopped.
+TEST_F(HttpServerTest, TellsWhenThePeerClosesBeforeTheResponse) {
+  std::promise<std::uint64_t> received;
+  HttpResponder later;
+  this->Start([&](const HttpRequest& request, HttpResponder respond) {
+    later = std::move(respond);
+    received.set_value(request.exchange);
+  });
+  RawClient client(this->address);
+  client.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto handled = received.get_future();
+  ASSERT_EQ(handled.wait_for(kPatience), std::future_status::ready);
+  client.Close();
+  auto told = this->abandoned.get_future();
+  ASSERT_EQ(told.wait_for(kPatience), std::future_status::ready);
+  EXPECT_EQ(told.get(), handled.get());
+  later({200, "{}"});
+}
+
+// A second request on the connection is no sign that the peer is gone.
+TEST_F(HttpServerTest, NextRequestSentEarlyIsServedAfterTheFirst) {
+  HttpResponder first;
+  std::promise<void> received;
+  this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
+    if (request.target == "/first") {
+      first = respond;
+      received.set_value();
+    } else {
+      respond({200, "second"});
+    }
+  });
+  RawClient client(this->address);
+  client.Send("GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_EQ(received.get_future().wait_for(kPatience), std::future_status::ready);
+  first({200, "first"});
+  std::string answers;
+  while (answers.find("second") == std::string::npos) {
+    const std::string more = client.Receive();
+    ASSERT_FALSE(more.empty()) << answers;
+    answers += more;
+  }
+  EXPECT_LT(answers.find("first"), answers.find("second"));
+}
+
+TEST_F(HttpServerTest, PassesHeadersHostAndTarget) {
+  HttpRequest seen;
+  this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
+    seen = request;
+    HttpResponse response{200, "ok"};
+    response.headers["Retry-After"] = "3";
+    respond(response);
+  });
+  HttpSession session(this->address, 1);
+  OutgoingRequest request{"POST", "/p%41/q?x=1%202", "body"};
+  request.headers["X-Deadline-Ms"] = "1500";
+  const HttpResult result = session.SendAndWait(request, kPatience);
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+  EXPECT_EQ(std::get<HttpResponse>(result).body, "ok");
+  EXPECT_EQ(seen.target, "/p%41/q?x=1%202");
+  EXPECT_EQ(seen.path, (std::vector<std::string>{"pA", "q"}));
+  EXPECT_EQ(seen.query.at("x"), "1 2");
+  EXPECT_EQ(seen.Header("x-deadline-ms"), "1500");
+  EXPECT_EQ(seen.host, this->address);
+}
+
+TEST_F(HttpServerTest, SessionTellsARefusedConnectionFromALostAnswer) {
+  HttpSession nobody(this->address, 1);
+  const HttpResult refused = nobody.SendAndWait({"GET", "/"}, kPatience);
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(refused));
+  EXPECT_TRUE(std::get<HttpFailure>(refused).not_sent);
+  std::atomic<int> requests{0};
+  HttpResponder kept;
+  // The first request gets no answer.
+  this->Start([&](const HttpRequest&, const HttpResponder& respond) {
+    if (++requests == 1) {
+      kept = respond;
+    } else {
+      respond({200, "again"});
+    }
+  });
+  HttpSession session(this->address, 1);
+  const HttpResult lost = session.SendAndWait({"GET", "/"}, std::chrono::milliseconds(100));
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(lost));
+  EXPECT_FALSE(std::get<HttpFailure>(lost).not_sent);
+  // The session goes on with a new connection.
+  const HttpResult next = session.SendAndWait({"GET", "/"}, kPatience);
+  EXPECT_TRUE(std::holds_alternative<HttpResponse>(next));
+}
+
+}  // namespace
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/http/libraries.cmake
@@ -0,0 +1,1 @@
+target_link_libraries(http_test PRIVATE quetzalvale_http)
--- /dev/null
+++ b/tests/policy/start_wait_test.cc
@@ -0,0 +1,70 @@
+#include "core/policy/start_wait.h"
+
+#include <gtest/gtest.h>
+
+#include "core/policy/answer_target.h"
+
+namespace quetzalvale {
+namespace {
+
+using std::chrono::milliseconds;
+
+RoomView Room(double free_runs, double own_runs, milliseconds queued = milliseconds(0)) {
+  return {free_runs, own_runs, milliseconds(100), queued};
+}
+
+// Pattern: a fleet that is busy but not full. Work under way is no wait while there is room for all
+// tasks; counting it rejected a fifth of the short jobs on such a day.
+TEST(ExpectedWaitTest, RunsUnderWayAreNoWaitWhileThereIsRoom) {
+  EXPECT_EQ(ExpectedWait(Room(8, 100), 8), Microseconds(0));
+  EXPECT_EQ(ExpectedWait(Room(12, 100, milliseconds(300)), 8), Microseconds(0));
+}
+
+// Pattern: a burst. Beyond the room, tasks start as this entry's own runs end.
+TEST(ExpectedWaitTest, TasksWithoutRoomWaitForOwnRunsToEnd) {
+  EXPECT_EQ(ExpectedWait(Room(0, 10), 5), milliseconds(50));
+  EXPECT_EQ(ExpectedWait(Room(0, 10, milliseconds(1000)), 5), milliseconds(150));
+  EXPECT_EQ(ExpectedWait(Room(3, 10, milliseconds(1000)), 5), milliseconds(120));
+}
+
+TEST(ExpectedWaitTest, EntryWithoutRunsWaitsForOneAtATime) {
+  EXPECT_EQ(ExpectedWait(Room(0, 0), 2), milliseconds(200));
+}
+
+TEST(WaitAcceptableTest, SlackOfTheTargetDecides) {
+  EXPECT_TRUE(IsWaitAcceptable(milliseconds(100), milliseconds(160), milliseconds(80)));
+  EXPECT_FALSE(IsWaitAcceptable(milliseconds(101), milliseconds(160), milliseconds(80)));
+}
+
+// Pattern: large jobs whose declared run time alone is beyond the target. Rejecting them unheard
+// would serve the largest tenth never.
+TEST(WaitAcceptableTest, LongDeclarationsAreNotRejectedWhileNothingWaits) {
+  EXPECT_TRUE(IsWaitAcceptable(milliseconds(0), milliseconds(1480), milliseconds(2500)));
+  EXPECT_TRUE(IsWaitAcceptable(milliseconds(148), milliseconds(1480), milliseconds(2500)));
+  EXPECT_FALSE(IsWaitAcceptable(milliseconds(149), milliseconds(1480), milliseconds(2500)));
+}
+
+TEST(AnswerTargetTest, GrowsWithTheLongestTaskUpToTheDeadline) {
+  KindConfiguration kind;
+  kind.target_stretch = 1.6;
+  kind.target_slack = milliseconds(60);
+  kind.late_factor = 3;
+  const Time start{std::chrono::seconds(5)};
+  const AnswerTarget target = TargetOf(kind, milliseconds(100), start, start + milliseconds(500));
+  EXPECT_EQ(target.on_time, start + milliseconds(220));
+  EXPECT_EQ(target.useful_until, start + milliseconds(500));
+  const StartSchedule schedule = ScheduleOf(target, milliseconds(100));
+  EXPECT_EQ(schedule.latest_on_time, start + milliseconds(145));
+  EXPECT_EQ(schedule.give_up, start + milliseconds(425));
+}
+
+TEST(AnswerTargetTest, KindWithoutTargetWantsItsAnswerByTheDeadline) {
+  const Time start{std::chrono::seconds(5)};
+  const AnswerTarget target =
+      TargetOf(KindConfiguration(), milliseconds(100), start, start + milliseconds(500));
+  EXPECT_EQ(target.on_time, start + milliseconds(500));
+  EXPECT_EQ(target.useful_until, start + milliseconds(500));
+}
+
+}  // namespace
+}  // namespace quetzalvale
--- /dev/null
+++ b/tests/policy/target_placement_test.cc
@@ -0,0 +1,76 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "core/policy/placement.h"
+
+namespace quetzalvale {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kSlow = 0.8;
+constexpr double kFast = 1.75;
+
+Candidate Endpoint(double speed, int free_slots, double room_share) {
+  Candidate candidate;
+  candidate.slots = 10;
+  candidate.free_slots = free_slots;
+  candidate.room_share = room_share;
+  candidate.speed = speed;
+  return candidate;
+}
+
+Candidate Full(double speed, milliseconds wait) {
+  Candidate candidate = Endpoint(speed, 0, 0);
+  candidate.full = true;
+  candidate.expected_wait = wait;
+  return candidate;
+}
+
+PlacementQuery Query(milliseconds expected, milliseconds on_time, milliseconds left) {
+  PlacementQuery query{expected, left};
+  query.on_time_left = on_time;
+  return query;
+}
+
+std::optional<std::size_t> Choose(const std::vector<Candidate>& candidates,
+                                  const PlacementQuery& query) {
+  Random random(1);
+  return MakePlacement(PlacementPolicy::kDefault)(candidates, query, random);
+}
+
+// Pattern: three of eleven endpoints are twice as fast, and only they end the longest tasks in
+// time. Short tasks that are on time on a slow endpoint must not take the fast ones.
+TEST(TargetPlacementTest, ShortTaskTakesTheSlowestEndpointThatIsOnTime) {
+  const auto query = Query(milliseconds(60), milliseconds(156), milliseconds(1480));
+  EXPECT_EQ(Choose({Endpoint(kFast, 2, 0.2), Endpoint(kSlow, 2, 0.2)}, query), 1);
+}
+
+TEST(TargetPlacementTest, AmpleRoomIsUsedAtFullSpeed) {
+  const auto query = Query(milliseconds(60), milliseconds(156), milliseconds(1480));
+  EXPECT_EQ(Choose({Endpoint(kFast, 8, 0.8), Endpoint(kSlow, 2, 0.2)}, query), 0);
+}
+
+// A target grows with the task's length but the deadline does not: a long task that runs longer
+// than declared would miss it on the slow endpoint.
+TEST(TargetPlacementTest, LongTaskGoesWhereALongRunStillMeetsTheDeadline) {
+  const auto query = Query(milliseconds(900), milliseconds(1480), milliseconds(1480));
+  EXPECT_EQ(Choose({Endpoint(kSlow, 8, 0.8), Endpoint(kFast, 1, 0.1)}, query), 1);
+}
+
+TEST(TargetPlacementTest, LongTaskWaitsForAFullFastEndpoint) {
+  const auto query = Query(milliseconds(900), milliseconds(1480), milliseconds(1480));
+  EXPECT_EQ(Choose({Endpoint(kSlow, 8, 0.8), Full(kFast, milliseconds(30))}, query), std::nullopt);
+}
+
+// When nothing is on time any more, waiting only makes it worse.
+TEST(TargetPlacementTest, LateTaskGoesWhereItEndsFirst) {
+  const auto query = Query(milliseconds(900), milliseconds(300), milliseconds(300));
+  EXPECT_EQ(Choose({Endpoint(kSlow, 8, 0.8), Endpoint(kFast, 1, 0.1), Full(kFast, milliseconds(0))},
+                   query),
+            1);
+}
+
+}  // namespace
+}  // namespace quetzalvale
