--- a/src/entry/core_thread.cc
+++ b/src/entry/core_thread.cc
@@ -37,6 +37,7 @@
 }
 
 void CoreThread::Handle(const Item& item) {
+  this->lag.Note(item.posted, this->clock.Now());
   if (const auto* event = std::get_if<EntryEvent>(&item.content)) {
     this->HandleEvent(item.posted, *event);
   } else {
--- a/src/entry/core_thread.h
+++ b/src/entry/core_thread.h
@@ -8,6 +8,7 @@
 #include "core/entry/entry_core.h"
 #include "runtime/clock.h"
 #include "runtime/event_loop.h"
+#include "runtime/lag_meter.h"
 
 namespace quetzalvale {
 
@@ -42,6 +43,9 @@
   /// Calls `receive` on the core thread. Returns false when the entry is overloaded.
   bool PostStatusRequest(StatusReceiver receive);
 
+  /// Longest time that an event waited lately until it was handled.
+  Time::duration Lag() const { return this->lag.Longest(this->clock.Now()); }
+
  private:
   struct Item {
     Time posted;
@@ -54,6 +58,7 @@
   EntryCore core;
   const Clock& clock;
   Runner run;
+  LagMeter lag;
   EventLoop<Item> loop;
 };
 
