--- a/src/agent/main.cc
+++ b/src/agent/main.cc
@@ -39,6 +39,7 @@
   }
   quetzalvale::WaitForStopSignal();
   agent.Leave();
+  quetzalvale::FlushLog();
   return EXIT_SUCCESS;
 }
 
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -164,6 +164,9 @@
   void SubmitOwn(ServiceState& service, const Waiter& waiter, const Submission& submission);
   void SubmitUnused(ServiceState& service, const Waiter& waiter, const Submission& submission);
   void SubmitNamed(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  /// Logs why a repeatable job is rejected, with the load that decided it.
+  void LogRejection(const ServiceState& service, const Submission& submission,
+                    const Refusal& refusal);
   void ClaimKeyFor(ServiceState& service, const Waiter& waiter, const Submission& submission);
   std::optional<Refusal> CheckSubmission(ServiceState& service, const Submission& submission);
   LoadView Load(const ServiceState& service, const Submission& submission) const;
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -110,13 +110,34 @@
   owned.ticket = tickets.front();
   if (auto refusal = this->CheckSubmission(service, owned)) {
     refusal->not_run = true;
+    this->LogRejection(service, owned, *refusal);
     this->Refuse(waiter, *refusal, std::nullopt);
     return;
   }
   this->TakeJob(service, waiter, owned);
 }
 
+void EntryCore::LogRejection(const ServiceState& service, const Submission& submission,
+                             const Refusal& refusal) {
+  const LoadView load = this->Load(service, submission);
+  std::string line = "job=" + submission.name + " kind=" + submission.kind +
+                     " error=" + ErrorKindText(refusal.kind) +
+                     " tasks=" + std::to_string(submission.tasks.size()) +
+                     " queued_tasks=" + std::to_string(load.queued_tasks) +
+                     " configuration=" + std::to_string(service.configuration->version);
+  if (load.target) {
+    const auto whole = [](double value) { return std::to_string(std::llround(value)); };
+    line += " target_ms=" + std::to_string(load.target->time.count() / 1000) +
+            " longest_ms=" + std::to_string(load.target->longest.count() / 1000) +
+            " free_runs=" + whole(load.target->room.free_runs) +
+            " own_runs=" + whole(load.target->room.own_runs) +
+            " queued_ms=" + std::to_string(load.target->room.queued_work.count() / 1000);
+  }
+  this->Log(1041, "job_rejected", std::move(line));
+}
+
 void EntryCore::On(const CallerGone& event) {
+  this->Log(1042, "caller_gone", "request=" + std::to_string(event.request));
   Job* job = this->jobs.FindAwaited(event.request);
   if (job == nullptr) {
     return;
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -37,6 +37,7 @@
   }
   quetzalvale::WaitForStopSignal();
   entry.Leave();
+  quetzalvale::FlushLog();
   return EXIT_SUCCESS;
 }
 
