--- a/src/core/entry/agent_directory.h
+++ b/src/core/entry/agent_directory.h
@@ -35,6 +35,7 @@
 struct OpenStart {
   std::vector<TaskRef> tasks;
   Unreported sent;
+  Time sent_at{};
 };
 
 /// One agent incarnation.
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -25,6 +25,7 @@
 #include "core/entry/start_batcher.h"
 #include "core/policy/admission.h"
 #include "core/policy/placement.h"
+#include "core/policy/round_trips.h"
 
 namespace quetzalvale {
 
@@ -163,6 +164,8 @@
   void Submit(const Waiter& waiter, const Submission& submission);
   void SubmitOwn(ServiceState& service, const Waiter& waiter, const Submission& submission);
   void SubmitUnused(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  /// Returns why this process cannot answer another job in time, or nothing.
+  std::optional<Refusal> CheckOwnSpeed() const;
   void SubmitNamed(ServiceState& service, const Waiter& waiter, const Submission& submission);
   /// Logs why a repeatable job is rejected, with the load that decided it.
   void LogRejection(const ServiceState& service, const Submission& submission,
@@ -342,6 +345,8 @@
   TicketAnswers salvaged;
   /// Of repeatable jobs, for copies of the submission that arrive late.
   NamedAnswers named_answers;
+  /// Of the starts sent to agents.
+  RoundTrips round_trips;
   std::map<std::pair<Incarnation, std::string>, AdoptedLedger> adopted;
 
   Departure departure;
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -46,6 +46,7 @@
     return;
   }
   const std::vector<TaskRef> tasks = std::move(node.mapped().tasks);
+  this->round_trips.Note(node.mapped().sent_at, this->now);
   agent->unreported.Remove(node.mapped().sent);
   if (const auto* reply = std::get_if<StartReply>(&event.reply)) {
     this->SettleStart(*reply, event.agent, event.channel_sequence, tasks);
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -380,6 +380,7 @@
     task.channel_sequence = request.channel_sequence;
   }
   this->counters.tasks_started += start.tasks.size();
+  start.sent_at = this->now;
   agent.starts[request.channel_sequence] = std::move(start);
   this->Do(SendStart{agent.announce.address, std::move(request)});
 }
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -26,6 +26,10 @@
 /// Keeps sums of times in range, whatever a caller asks for.
 constexpr Milliseconds kLongestDeadline = std::chrono::hours(24);
 
+/// Beyond this, jobs come too late however much room there is. It is half of the time after which
+/// an agent refuses a start, because refused starts are sent again and make the entry slower still.
+constexpr Milliseconds kLongestRoundTrip{125};
+
 constexpr const char* kUseFreshTicket = "submit again with a fresh ticket";
 
 }  // namespace
@@ -108,7 +112,11 @@
   }
   Submission owned = submission;
   owned.ticket = tickets.front();
-  if (auto refusal = this->CheckSubmission(service, owned)) {
+  auto refusal = this->CheckOwnSpeed();
+  if (!refusal) {
+    refusal = this->CheckSubmission(service, owned);
+  }
+  if (refusal) {
     refusal->not_run = true;
     this->LogRejection(service, owned, *refusal);
     this->Refuse(waiter, *refusal, std::nullopt);
@@ -117,6 +125,18 @@
   this->TakeJob(service, waiter, owned);
 }
 
+std::optional<EntryCore::Refusal> EntryCore::CheckOwnSpeed() const {
+  const auto median = this->round_trips.Median(this->now);
+  if (!median || *median < kLongestRoundTrip) {
+    return std::nullopt;
+  }
+  return Refusal{ErrorKind::kOverloaded,
+                 "starts take " +
+                     std::to_string(std::chrono::duration_cast<Milliseconds>(*median).count()) +
+                     " ms to be answered here; submit through another entry",
+                 true};
+}
+
 void EntryCore::LogRejection(const ServiceState& service, const Submission& submission,
                              const Refusal& refusal) {
   const LoadView load = this->Load(service, submission);
