--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -109,7 +109,7 @@
   /// Expected finish; of endpoints with little room that end the task on time, its negative.
   double order_us = 0;
 
-  auto operator<=>(const Preference&) const = default;
+  auto operator<=>(const Preference&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
 Preference Prefer(const Candidate& candidate, const PlacementQuery& query) {
