--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -164,20 +164,24 @@
   void Submit(const Waiter& waiter, const Submission& submission);
   void SubmitOwn(ServiceState& service, const Waiter& waiter, const Submission& submission);
   void SubmitUnused(ServiceState& service, const Waiter& waiter, const Submission& submission);
-  /// Returns why this process cannot answer another job in time, or nothing.
-  std::optional<Refusal> CheckOwnSpeed() const;
-  void SubmitNamed(ServiceState& service, const Waiter& waiter, const Submission& submission);
-  /// Logs why a repeatable job is rejected, with the load that decided it.
-  void LogRejection(const ServiceState& service, const Submission& submission,
-                    const Refusal& refusal);
   void ClaimKeyFor(ServiceState& service, const Waiter& waiter, const Submission& submission);
   std::optional<Refusal> CheckSubmission(ServiceState& service, const Submission& submission);
-  LoadView Load(const ServiceState& service, const Submission& submission) const;
   void TakeJob(ServiceState& service, const Waiter& waiter, const Submission& submission);
   bool Attach(Job& job, const Waiter& waiter, std::uint64_t body_hash);
   void AnswerFromLedger(const TicketLedger& ledger, const Waiter& waiter, const Ticket& ticket,
                         const std::uint64_t* body_hash);
   Result<std::optional<Answer>> LookUp(const Ticket& ticket);
+
+  // Repeatable jobs (entry_core_repeatable.cc).
+  /// Returns why this process cannot answer another job in time, or nothing.
+  std::optional<Refusal> CheckOwnSpeed() const;
+  void SubmitNamed(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  /// Logs why a repeatable job is rejected, with the load that decided it.
+  void LogRejection(const ServiceState& service, const Submission& submission,
+                    const Refusal& refusal);
+
+  // Load (entry_core_load.cc).
+  LoadView Load(const ServiceState& service, const Submission& submission) const;
   static Microseconds LongestTask(const ServiceState& service, const Submission& submission);
   static Milliseconds JobDeadline(const ServiceState& service, const Submission& submission);
 
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -23,13 +23,6 @@
 constexpr std::size_t kMaxJobs = 50000;
 constexpr std::size_t kMaxPayloadBytes = std::size_t{256} << 20;
 
-/// Keeps sums of times in range, whatever a caller asks for.
-constexpr Milliseconds kLongestDeadline = std::chrono::hours(24);
-
-/// Beyond this, jobs come too late however much room there is. It is half of the time after which
-/// an agent refuses a start, because refused starts are sent again and make the entry slower still.
-constexpr Milliseconds kLongestRoundTrip{125};
-
 constexpr const char* kUseFreshTicket = "submit again with a fresh ticket";
 
 }  // namespace
@@ -84,92 +77,6 @@
   }
 }
 
-void EntryCore::SubmitNamed(ServiceState& service, const Waiter& waiter,
-                            const Submission& submission) {
-  if (Job* job = this->jobs.FindNamed(service.name, submission.name)) {
-    if (job->answered || job->failure) {
-      this->Refuse(waiter,
-                   {ErrorKind::kOverloaded,
-                    "an earlier run of the job is being stopped; submit it again later", false},
-                   std::nullopt);
-    } else {
-      this->Attach(*job, waiter, submission.body_hash);
-    }
-    return;
-  }
-  const auto* kept = this->named_answers.Find(service.name + "/" + submission.name);
-  if (kept != nullptr && kept->body_hash == submission.body_hash) {
-    this->Deliver(waiter, kept->answer);
-    return;
-  }
-  // The ticket names the job towards the agents and is not told to the caller.
-  const auto tickets = service.ledger.Issue(1, this->directory.RosterNumber(), this->now);
-  if (tickets.empty()) {
-    this->Refuse(waiter,
-                 {ErrorKind::kOverloaded, "too many jobs were submitted; submit again later", true},
-                 std::nullopt);
-    return;
-  }
-  Submission owned = submission;
-  owned.ticket = tickets.front();
-  auto refusal = this->CheckOwnSpeed();
-  if (!refusal) {
-    refusal = this->CheckSubmission(service, owned);
-  }
-  if (refusal) {
-    refusal->not_run = true;
-    this->LogRejection(service, owned, *refusal);
-    this->Refuse(waiter, *refusal, std::nullopt);
-    return;
-  }
-  this->TakeJob(service, waiter, owned);
-}
-
-std::optional<EntryCore::Refusal> EntryCore::CheckOwnSpeed() const {
-  const auto median = this->round_trips.Median(this->now);
-  if (!median || *median < kLongestRoundTrip) {
-    return std::nullopt;
-  }
-  return Refusal{ErrorKind::kOverloaded,
-                 "starts take " +
-                     std::to_string(std::chrono::duration_cast<Milliseconds>(*median).count()) +
-                     " ms to be answered here; submit through another entry",
-                 true};
-}
-
-void EntryCore::LogRejection(const ServiceState& service, const Submission& submission,
-                             const Refusal& refusal) {
-  const LoadView load = this->Load(service, submission);
-  std::string line = "job=" + submission.name + " kind=" + submission.kind +
-                     " error=" + ErrorKindText(refusal.kind) +
-                     " tasks=" + std::to_string(submission.tasks.size()) +
-                     " queued_tasks=" + std::to_string(load.queued_tasks) +
-                     " configuration=" + std::to_string(service.configuration->version);
-  if (load.target) {
-    const auto whole = [](double value) { return std::to_string(std::llround(value)); };
-    line += " target_ms=" + std::to_string(load.target->time.count() / 1000) +
-            " longest_ms=" + std::to_string(load.target->longest.count() / 1000) +
-            " free_runs=" + whole(load.target->room.free_runs) +
-            " own_runs=" + whole(load.target->room.own_runs) +
-            " queued_ms=" + std::to_string(load.target->room.queued_work.count() / 1000);
-  }
-  this->Log(1041, "job_rejected", std::move(line));
-}
-
-void EntryCore::On(const CallerGone& event) {
-  this->Log(1042, "caller_gone", "request=" + std::to_string(event.request));
-  Job* job = this->jobs.FindAwaited(event.request);
-  if (job == nullptr) {
-    return;
-  }
-  std::erase_if(job->waiters, [&](const Waiter& waiter) {
-    return waiter.kind == Waiter::Kind::kCaller && waiter.request == event.request;
-  });
-  if (job->waiters.empty()) {
-    this->FailJob(*job, "cancelled", "the caller closed its connection", true);
-  }
-}
-
 void EntryCore::ClaimKeyFor(ServiceState& service, const Waiter& waiter,
                             const Submission& submission) {
   // What an earlier submission with the key did is not known here, so no refusal before the claim
@@ -353,89 +260,6 @@
   return std::nullopt;
 }
 
-LoadView EntryCore::Load(const ServiceState& service, const Submission& submission) const {
-  LoadView load;
-  const auto* kind = service.configuration->FindKind(submission.kind);
-  const int urgency = kind == nullptr ? 0 : kind->urgency;
-  load.queued_tasks = static_cast<std::uint32_t>(service.queue.Size());
-  RoomView room;
-  load.urgent_slots = service.arrivals.SlotsAhead(urgency, this->now);
-  const Resources typical =
-      submission.tasks.empty() ? Resources{1} : DeclaredBy(submission.tasks.front());
-  for (const auto& [incarnation, agent] : this->directory.Agents()) {
-    const bool usable = agent.member && !agent.leaving && agent.announce.service == service.name &&
-                        agent.first_roster <= submission.ticket->roster;
-    if (!usable || (this->IsLost(agent) && this->now >= this->grace_until)) {
-      continue;
-    }
-    load.has_agents = true;
-    for (const auto& [task, expected] : agent.outstanding) {
-      load.outstanding_work += expected;
-    }
-    room.own_runs += static_cast<double>(agent.outstanding.size());
-    if (!service.health.IsAvailable(agent.announce.name)) {
-      continue;
-    }
-    const int slots = ParallelRuns(CapacityOf(agent.announce.worker), typical);
-    const int free =
-        ParallelRuns(ReportedFree(agent.announce.worker, agent.announce.load), typical);
-    room.free_runs += ParallelRuns(agent.Free(), typical);
-    const int own = static_cast<int>(agent.outstanding.size());
-    const int others = std::clamp(slots - free - own, 0, slots);
-    load.effective_slots += (slots - others) * service.model.Speed(agent.announce.name);
-  }
-  StartQueue::Newcomer job;
-  job.urgency = urgency;
-  const std::string team = service.CountedTeam(submission.team);
-  job.team = team;
-  for (const auto& [name, rates] : service.team_arrivals) {
-    job.arrivals[name] = rates.SlotsAhead(1, this->now) / std::max(1.0, load.effective_slots);
-  }
-  for (const TaskSpec& spec : submission.tasks) {
-    job.work += service.model.Expected(submission.kind, spec.declared);
-  }
-  job.overtakes_at =
-      StartQueue::OvertakesAt(this->now, this->now + JobDeadline(service, submission));
-  if (kind != nullptr && kind->target_stretch > 0) {
-    const Microseconds longest = LongestTask(service, submission);
-    const AnswerTarget target =
-        TargetOf(*kind, longest, this->now, this->now + JobDeadline(service, submission));
-    job.overtakes_at = StartQueue::OvertakesAt(this->now, ScheduleOf(target, longest));
-    load.target = LoadView::Target{
-        std::chrono::duration_cast<Microseconds>(target.on_time - this->now), longest, room};
-  }
-  load.overtakes_after = std::chrono::duration_cast<Microseconds>(job.overtakes_at - this->now);
-  job.done_until_then = Microseconds(
-      std::llround(static_cast<double>(load.overtakes_after.count()) * load.effective_slots));
-  load.queued_work = service.queue.WorkAhead(job);
-  if (load.target) {
-    room.queued_work = load.queued_work;
-    room.mean_run = room.own_runs > 0
-                        ? Microseconds(std::llround(
-                              static_cast<double>(load.outstanding_work.count()) / room.own_runs))
-                        : load.target->longest;
-    load.target->room = room;
-  }
-  return load;
-}
-
-Microseconds EntryCore::LongestTask(const ServiceState& service, const Submission& submission) {
-  Microseconds longest{0};
-  for (const TaskSpec& spec : submission.tasks) {
-    longest = std::max(longest, service.model.Expected(submission.kind, spec.declared));
-  }
-  return longest;
-}
-
-Milliseconds EntryCore::JobDeadline(const ServiceState& service, const Submission& submission) {
-  if (submission.deadline.count() > 0) {
-    return std::min(submission.deadline, kLongestDeadline);
-  }
-  const auto* kind = service.configuration->FindKind(submission.kind);
-  return kind == nullptr ? KindConfiguration().deadline
-                         : std::min(kind->deadline, kLongestDeadline);
-}
-
 void EntryCore::TakeJob(ServiceState& service, const Waiter& waiter, const Submission& submission) {
   service.ledger.Use(*submission.ticket, this->now);
   Job fresh;
