--- /dev/null
+++ b/tests/adapter/worker_endpoint_test.cc
@@ -0,0 +1,183 @@
+#include "platform/worker_endpoint.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "http/http_server.h"
+#include "tests/support/loopback_address.h"
+
+namespace quetzalvale::platform {
+namespace {
+
+constexpr std::chrono::seconds kPatience{20};
+const TaskKey kKey{Ticket{"s", {1, 1}, 7, 1}, 0};
+constexpr char kTask[] = "00000000000000a1.0.0.0";
+
+/// A worker that starts what it is told and ends what the test says.
+class FakeWorker {
+ public:
+  FakeWorker()
+      : server(
+            this->address, [] { return std::size_t{100000}; },
+            [this](const HttpRequest& request, const HttpResponder& respond) {
+              respond(this->Handle(request));
+            }) {
+    EXPECT_EQ(this->server.Start(), "");
+  }
+
+  /// Answer to the next starts; an empty one lets them run.
+  void RejectStarts(std::string reason) {
+    const std::lock_guard lock(this->mutex);
+    this->rejection = std::move(reason);
+  }
+
+  void End(const std::string& how) {
+    const std::lock_guard lock(this->mutex);
+    if (!this->running.empty()) {
+      this->ended = "[1,\"" + std::string(kTask) + "\"," + this->running + ",\"" + how + "\",\"\"]";
+      this->running.clear();
+    }
+  }
+
+  std::string address = NextLoopbackAddress();
+  std::atomic<int> stops{0};
+
+ private:
+  HttpResponse Handle(const HttpRequest& request) {
+    // Bounds how often the lists are read.
+    std::this_thread::sleep_for(std::chrono::milliseconds(3));
+    const std::lock_guard lock(this->mutex);
+    if (request.target == "/api/run-start") {
+      if (!this->rejection.empty()) {
+        return {409, R"({"clock_ms":1000,"reason":")" + this->rejection + R"("})"};
+      }
+      const std::size_t run = request.body.find("\"run\":") + 6;
+      this->running = request.body.substr(run, request.body.find(',', run) - run);
+      return {200, R"({"clock_ms":1000})"};
+    }
+    if (request.target == "/api/run-stop") {
+      ++this->stops;
+      return {200, R"({"clock_ms":1000})"};
+    }
+    const std::string list = this->running.empty()
+                                 ? ""
+                                 : "[\"" + std::string(kTask) + "\"," + this->running + ",\"\",1]";
+    return {200, R"({"clock_ms":1000,"running":[)" + list + R"(],"ended":[)" + this->ended + "]}"};
+  }
+
+  std::mutex mutex;
+  std::string rejection;
+  /// Number of the run that runs; empty when none does.
+  std::string running;
+  std::string ended;
+  HttpServer server;
+};
+
+class WorkerEndpointTest : public testing::Test {
+ protected:
+  void Connect() {
+    WorkerReport life;
+    life.id = "i-1";
+    this->endpoint = std::make_unique<WorkerEndpoint>(
+        WorkerEndpoint::Parts{this->worker.address, life, Milliseconds(1000)}, this->clock);
+    this->endpoint->SetReport([this](AgentEvent event) {
+      const std::lock_guard lock(this->mutex);
+      this->events.push_back(std::move(event));
+      this->arrived.notify_all();
+    });
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (!this->endpoint->IsClean() && std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    ASSERT_TRUE(this->endpoint->IsClean());
+  }
+
+  void Start() {
+    StartOnEndpoint start;
+    start.task = kKey;
+    start.payload = R"({"task":"00000000000000a1.0.0.0","spec":"x"})";
+    this->endpoint->Start(start);
+  }
+
+  AgentEvent Next() {
+    std::unique_lock lock(this->mutex);
+    if (!this->arrived.wait_for(lock, kPatience, [this] { return !this->events.empty(); })) {
+      ADD_FAILURE() << "no event";
+      return Tick{};
+    }
+    AgentEvent event = this->events.front();
+    this->events.pop_front();
+    return event;
+  }
+
+  SystemClock clock;
+  FakeWorker worker;
+  std::mutex mutex;
+  std::condition_variable arrived;
+  std::deque<AgentEvent> events;
+  /// Last, so that nothing reports to what is gone.
+  std::unique_ptr<WorkerEndpoint> endpoint;
+};
+
+TEST_F(WorkerEndpointTest, ReportsTheEndThatTheListsShow) {
+  this->Connect();
+  this->Start();
+  std::thread ending([this] {
+    // The end is listed once the run has begun.
+    for (int i = 0; i < 200; ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+      this->worker.End("done");
+    }
+  });
+  const AgentEvent event = this->Next();
+  ending.join();
+  const auto* finished = std::get_if<EndpointFinished>(&event);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_EQ(finished->task, kKey);
+  ASSERT_TRUE(IsOk(finished->outcome));
+  EXPECT_TRUE(std::get<Outcome>(finished->outcome).ok);
+}
+
+TEST_F(WorkerEndpointTest, RefusedStartDidNotRun) {
+  this->Connect();
+  this->worker.RejectStarts("room");
+  this->Start();
+  const AgentEvent event = this->Next();
+  ASSERT_TRUE(std::holds_alternative<EndpointRefused>(event));
+  EXPECT_EQ(std::get<EndpointRefused>(event).task, kKey);
+}
+
+// The agent that receives the reports is destroyed when its worker's life ends; a report that is
+// being delivered at that moment used the destroyed agent.
+TEST_F(WorkerEndpointTest, FormerReceiverGetsNothingAfterItIsReplaced) {
+  this->Connect();
+  std::promise<void> entered;
+  std::promise<void> go_on;
+  std::atomic<bool> reporting{false};
+  this->endpoint->SetReport([&, released = go_on.get_future().share()](const AgentEvent&) {
+    reporting = true;
+    entered.set_value();
+    released.wait_for(kPatience);
+    reporting = false;
+  });
+  this->worker.RejectStarts("room");
+  this->Start();
+  ASSERT_EQ(entered.get_future().wait_for(kPatience), std::future_status::ready);
+  auto replaced = std::async(std::launch::async, [&] {
+    this->endpoint->SetReport({});
+    return reporting.load();
+  });
+  EXPECT_EQ(replaced.wait_for(std::chrono::milliseconds(50)), std::future_status::timeout);
+  go_on.set_value();
+  EXPECT_FALSE(replaced.get());
+}
+
+}  // namespace
+}  // namespace quetzalvale::platform
