Carry inner calls over Boost.Beast instead of libjsonrpccpp

A call cost one thread per peer, curl, libmicrohttpd with a thread hand-over, and a blocked server thread. Change: JSON-RPC 2.0 stays; HttpSession and HttpServer carry it, all peers on one thread (HttpLoop), replies given when the decision thread has them (InnerCalls). The timer of a call is set only after it fired. The codec names the path of a field only when it is malformed. A connect that fails is told apart from a call whose fate is unknown.

--- a/cmake/platform.cmake
+++ b/cmake/platform.cmake
@@ -1,12 +1,6 @@
 # The packages of the entry and the agent, and the adapter to the users' platform with its programs.
 quetzalvale_library(settings quetzalvale_protocol quetzalvale_core)
 
-# HTTP, the only users of cpprestsdk and Boost.Beast.
-quetzalvale_library(http quetzalvale_core cpprest ssl crypto)
-# Boost.Asio 1.74 uses std::exchange without including the header that declares it.
-set_source_files_properties(src/http/http_server.cc src/http/http_session.cc
-                            PROPERTIES COMPILE_OPTIONS "-include;utility")
-
 quetzalvale_library(store quetzalvale_http quetzalvale_protocol)
 quetzalvale_library(entry quetzalvale_store quetzalvale_settings quetzalvale_protocol xxhash)
 quetzalvale_library(agent quetzalvale_http quetzalvale_settings quetzalvale_protocol quetzalvale_core)
--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -14,7 +14,6 @@
 constexpr std::size_t kCallsPerPeer = 1024;
 constexpr std::chrono::milliseconds kCallTimeout{2000};
 constexpr std::chrono::milliseconds kResponsePatience{1000};
-constexpr int kRpcThreads = 4;
 /// The listener serves GET requests only.
 constexpr std::size_t kMaxBodyBytes = 4096;
 
@@ -47,7 +46,7 @@
       thread(this->core, this->clock, this->metrics,
              [this](const AgentAction& action) { this->runner->Run(action); }),
       inner(this->thread, this->leave_requested),
-      rpc(this->settings.inner_address, this->settings.shared_key, kRpcThreads),
+      rpc(this->settings.inner_address, this->settings.shared_key),
       endpoint(
           make_endpoint([this](AgentEvent event) { this->thread.PostResult(std::move(event)); })) {
   this->runner = std::make_unique<ActionRunner>(
--- a/src/agent/inner_api.h
+++ b/src/agent/inner_api.h
@@ -6,12 +6,12 @@
 #include <functional>
 
 #include "agent/agent_thread.h"
+#include "protocol/inner_calls.h"
 #include "protocol/rpc_server.h"
-#include "runtime/pending_calls.h"
 
 namespace quetzalvale {
 
-/// Each call waits for the decision thread, and for nothing else. Thread-safe.
+/// Posts each call to the decision thread, which gives the reply later. Thread-safe.
 class InnerApi {
  public:
   /// `drain` begins the graceful departure. `thread` must outlive the object.
@@ -20,17 +20,13 @@
   /// Precondition: the server is not started.
   void RegisterWith(RpcServer& server);
 
-  /// Gives the reply to a call that waits.
+  /// Gives the reply to an open call.
   void Reply(RequestId id, Json::Value reply);
 
  private:
-  template <typename Make>
-  Json::Value Call(const Make& make);
-
-  AgentThread& thread;
   std::function<void()> drain;
   std::atomic<std::uint64_t> ids{0};
-  PendingCalls<Json::Value> pending;
+  InnerCalls<AgentEvent> calls;
 };
 
 }  // namespace quetzalvale
--- a/src/entry/entry_runtime.cc
+++ b/src/entry/entry_runtime.cc
@@ -10,7 +10,6 @@
 constexpr std::chrono::milliseconds kCallTimeout{2000};
 constexpr std::chrono::milliseconds kStatusPatience{1000};
 constexpr std::size_t kCallsPerPeer = 4096;
-constexpr int kRpcThreads = 4;
 
 }  // namespace
 
@@ -39,8 +38,7 @@
           this->departed.set_value();
         }
       }});
-  this->rpc = std::make_unique<RpcServer>(this->options.inner_address, this->options.shared_key,
-                                          kRpcThreads);
+  this->rpc = std::make_unique<RpcServer>(this->options.inner_address, this->options.shared_key);
   this->inner->RegisterWith(*this->rpc);
   this->core->Start();
   if (!this->rpc->Start()) {
--- a/src/entry/inner_api.cc
+++ b/src/entry/inner_api.cc
@@ -3,65 +3,36 @@
 #include <stdexcept>
 #include <utility>
 
-#include "protocol/codec.h"
-
 namespace quetzalvale {
-namespace {
-
-/// The decision logic answers at once unless its ring is long.
-constexpr std::chrono::milliseconds kReplyTimeout{2000};
-
-}  // namespace
 
 InnerApi::InnerApi(CoreThread& core, const ConfigurationBook& book, std::atomic<std::uint64_t>& ids)
-    : core(core), book(book), ids(ids) {}
-
-template <typename Make>
-Json::Value InnerApi::Call(const Make& make) {
-  auto [id, future] = this->pending.Open(this->ids);
-  if (!this->core.PostRequest(make(id))) {
-    this->pending.Abandon(id);
-    throw std::runtime_error("the entry is overloaded; call again later");
-  }
-  auto reply = this->pending.Wait(id, std::move(future), kReplyTimeout);
-  if (!reply) {
-    throw std::runtime_error("the entry did not reply in time; call again later");
-  }
-  return *std::move(reply);
-}
+    : book(book),
+      calls(ids, [&core](EntryEvent event) { return core.PostRequest(std::move(event)); }) {}
 
 void InnerApi::RegisterWith(RpcServer& server) {
-  server.Register("announce", [this](const Json::Value& parameters) {
-    auto message = Decode<Announce>(parameters);
-    return this->Call([&](RequestId id) { return AgentAnnounced{id, std::move(message)}; });
+  this->calls.Register<Announce>(server, "announce", [](RequestId id, Announce message) {
+    return AgentAnnounced{id, std::move(message)};
   });
-  server.Register("heartbeat", [this](const Json::Value& parameters) {
-    const auto message = Decode<Heartbeat>(parameters);
-    return this->Call([&](RequestId id) { return HeartbeatReceived{id, message}; });
+  this->calls.Register<Heartbeat>(server, "heartbeat", [](RequestId id, Heartbeat message) {
+    return HeartbeatReceived{id, message};
   });
-  server.Register("outcomes", [this](const Json::Value& parameters) {
-    auto message = Decode<OutcomesRequest>(parameters);
-    return this->Call([&](RequestId id) { return OutcomesReceived{id, std::move(message)}; });
+  this->calls.Register<OutcomesRequest>(server, "outcomes", [](RequestId id, OutcomesRequest message) {
+    return OutcomesReceived{id, std::move(message)};
   });
-  server.Register("hello", [this](const Json::Value& parameters) {
-    auto message = Decode<Hello>(parameters);
-    return this->Call([&](RequestId id) { return HelloReceived{id, std::move(message)}; });
+  this->calls.Register<Hello>(server, "hello", [](RequestId id, Hello message) {
+    return HelloReceived{id, std::move(message)};
   });
-  server.Register("forward", [this](const Json::Value& parameters) {
-    auto message = Decode<ForwardRequest>(parameters);
-    return this->Call([&](RequestId id) { return ForwardReceived{id, std::move(message)}; });
+  this->calls.Register<ForwardRequest>(server, "forward", [](RequestId id, ForwardRequest message) {
+    return ForwardReceived{id, std::move(message)};
   });
-  server.Register("answer", [this](const Json::Value& parameters) {
-    auto message = Decode<AnswerRequest>(parameters);
-    return this->Call([&](RequestId id) { return AnswerReceived{id, std::move(message)}; });
+  this->calls.Register<AnswerRequest>(server, "answer", [](RequestId id, AnswerRequest message) {
+    return AnswerReceived{id, std::move(message)};
   });
-  server.Register("hand_over", [this](const Json::Value& parameters) {
-    auto message = Decode<HandOver>(parameters);
-    return this->Call([&](RequestId id) { return HandOverReceived{id, std::move(message)}; });
+  this->calls.Register<HandOver>(server, "hand_over", [](RequestId id, HandOver message) {
+    return HandOverReceived{id, std::move(message)};
   });
-  server.Register("cancel", [this](const Json::Value& parameters) {
-    const auto message = Decode<CancelRequest>(parameters);
-    return this->Call([&](RequestId id) { return JobCancelled{id, message.ticket}; });
+  this->calls.Register<CancelRequest>(server, "cancel", [](RequestId id, CancelRequest message) {
+    return JobCancelled{id, message.ticket};
   });
   server.Register("configuration", [this](const Json::Value& parameters) {
     return this->ServeConfiguration(parameters);
@@ -69,7 +40,7 @@
 }
 
 bool InnerApi::Reply(RequestId id, Json::Value reply) {
-  return this->pending.Complete(id, std::move(reply));
+  return this->calls.Complete(id, std::move(reply));
 }
 
 Json::Value InnerApi::ServeConfiguration(const Json::Value& parameters) const {
--- a/src/entry/inner_api.h
+++ b/src/entry/inner_api.h
@@ -7,13 +7,12 @@
 
 #include "entry/configuration_book.h"
 #include "entry/core_thread.h"
+#include "protocol/inner_calls.h"
 #include "protocol/rpc_server.h"
-#include "runtime/pending_calls.h"
 
 namespace quetzalvale {
 
-/// Posts each inner call to the decision logic and waits, for a bounded time, for the reply.
-/// Thread-safe.
+/// Posts each inner call to the decision logic, which gives the reply later. Thread-safe.
 class InnerApi {
  public:
   /// All must outlive the interface. `ids` numbers the requests of the process.
@@ -26,14 +25,10 @@
   bool Reply(RequestId id, Json::Value reply);
 
  private:
-  template <typename Make>
-  Json::Value Call(const Make& make);
   Json::Value ServeConfiguration(const Json::Value& parameters) const;
 
-  CoreThread& core;
   const ConfigurationBook& book;
-  std::atomic<std::uint64_t>& ids;
-  PendingCalls<Json::Value> pending;
+  InnerCalls<EntryEvent> calls;
 };
 
 }  // namespace quetzalvale
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -1,21 +1,20 @@
 #include "http/http_session.h"
 
 #include <algorithm>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <future>
 #include <optional>
-#include <thread>
 #include <utility>
 #include <vector>
 
+#include "http/http_loop.h"
+
 namespace quetzalvale {
 namespace {
 
@@ -47,63 +46,74 @@
   };
   class Connection;
 
-  State(const std::string& address, std::size_t max_connections)
-      : host(address), endpoint(ParseAddress(address)), max_connections(max_connections) {}
+  State(asio::io_context& context, const std::string& address, std::size_t max_connections)
+      : host(address),
+        endpoint(ParseAddress(address)),
+        max_connections(max_connections),
+        context(context) {}
 
   void Dispatch();
+  /// Forgets all calls and closes the connections.
+  void Close();
 
   std::string host;
   Tcp::endpoint endpoint;
   std::size_t max_connections;
-  asio::io_context context{1};
-  asio::executor_work_guard<asio::io_context::executor_type> work{this->context.get_executor()};
-  std::thread thread;
+  asio::io_context& context;
+  /// The rest is used on the loop's thread only.
   std::deque<Call> waiting;
   std::vector<std::shared_ptr<Connection>> connections;
 };
 
-/// One connection, used on the session's thread only.
+/// One connection, used on the loop's thread only.
 class HttpSession::State::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(State& session) : session(session), stream(std::in_place, session.context) {}
+  explicit Connection(std::shared_ptr<State> session)
+      : session(std::move(session)),
+        socket(std::in_place, this->session->context),
+        timer(this->session->context) {}
 
   bool IsIdle() const { return !this->call; }
 
   void Run(Call next) {
     this->call = std::move(next);
     this->Build();
-    this->stream->expires_at(this->call->until);
+    this->Watch();
     if (this->connected) {
       beast::error_code ignored;
       // Ends the wait of WatchPeer.
-      this->stream->socket().cancel(ignored);
+      this->socket->cancel(ignored);
       this->Write();
       return;
     }
-    this->stream->async_connect(this->session.endpoint,
+    this->socket->async_connect(this->session->endpoint,
                                 [self = this->shared_from_this()](beast::error_code error) {
+                                  if (!self->call) {
+                                    return;
+                                  }
                                   if (error) {
-                                    self->Fail({true, "cannot connect: " + error.message()});
+                                    self->Fail({true, "cannot connect: " + self->Reason(error)});
                                     return;
                                   }
                                   self->connected = true;
                                   beast::error_code ignored;
-                                  self->stream->socket().set_option(Tcp::no_delay(true), ignored);
+                                  self->socket->set_option(Tcp::no_delay(true), ignored);
                                   self->Write();
                                 });
   }
 
+  /// Forgets the call.
   void Close() {
-    beast::error_code ignored;
-    this->stream->socket().shutdown(Tcp::socket::shutdown_both, ignored);
-    this->stream->close();
+    this->call.reset();
+    this->timer.cancel();
+    this->Disconnect();
   }
 
  private:
   void Build() {
     const OutgoingRequest& from = this->call->request;
     this->message = {http::string_to_verb(from.method), from.target, kHttp11};
-    this->message.set(http::field::host, this->session.host);
+    this->message.set(http::field::host, this->session->host);
     if (!from.authorization.empty()) {
       this->message.set(http::field::authorization, from.authorization);
     }
@@ -118,11 +128,48 @@
     this->message.prepare_payload();
   }
 
+  /// Ends the call at its time. The timer is armed anew only after it has fired, because setting
+  /// it for each call would cost two system calls.
+  void Watch() {
+    if (this->watching && this->fires_at <= this->call->until) {
+      return;
+    }
+    this->watching = true;
+    this->fires_at = this->call->until;
+    this->timer.expires_at(this->fires_at);
+    this->timer.async_wait([self = this->shared_from_this()](beast::error_code error) {
+      if (!error) {
+        self->watching = false;
+        self->CheckTime();
+      }
+    });
+  }
+
+  void CheckTime() {
+    if (!this->call) {
+      return;
+    }
+    if (this->call->until > std::chrono::steady_clock::now()) {
+      this->Watch();
+      return;
+    }
+    this->timed_out = true;
+    // What is under way on the socket ends with an error.
+    this->Disconnect();
+  }
+
+  std::string Reason(beast::error_code error) const {
+    return this->timed_out ? "the time is over" : error.message();
+  }
+
   void Write() {
     http::async_write(
-        *this->stream, this->message,
+        *this->socket, this->message,
         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-          error ? self->Fail({false, "cannot send: " + error.message()}) : self->Read();
+          if (!self->call) {
+            return;
+          }
+          error ? self->Fail({false, "cannot send: " + self->Reason(error)}) : self->Read();
         });
   }
 
@@ -130,9 +177,12 @@
     this->parser.emplace();
     this->parser->body_limit(kMaxAnswerBytes);
     http::async_read(
-        *this->stream, this->buffer, *this->parser,
+        *this->socket, this->buffer, *this->parser,
         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-          error ? self->Fail({false, "no answer: " + error.message()}) : self->Complete();
+          if (!self->call) {
+            return;
+          }
+          error ? self->Fail({false, "no answer: " + self->Reason(error)}) : self->Complete();
         });
   }
 
@@ -141,52 +191,70 @@
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
     response.body = std::move(message.body());
-    if (!message.keep_alive()) {
+    if (!message.keep_alive() || this->timed_out) {
       this->Drop();
     }
     const Done done = std::exchange(this->call, std::nullopt)->done;
     if (this->connected) {
-      this->stream->expires_never();
       this->WatchPeer();
     }
     done(std::move(response));
-    this->session.Dispatch();
+    this->session->Dispatch();
   }
 
   void Fail(HttpFailure failure) {
     this->Drop();
     const Done done = std::exchange(this->call, std::nullopt)->done;
     done(std::move(failure));
-    this->session.Dispatch();
+    this->session->Dispatch();
   }
 
   /// A connection that the peer closes while it is idle must not be used for the next request.
   void WatchPeer() {
-    this->stream->socket().async_wait(Tcp::socket::wait_read,
-                                      [self = this->shared_from_this()](beast::error_code error) {
-                                        if (!error && self->IsIdle()) {
-                                          self->Drop();
-                                        }
-                                      });
+    this->socket->async_wait(Tcp::socket::wait_read,
+                             [self = this->shared_from_this()](beast::error_code error) {
+                               if (!error && self->IsIdle()) {
+                                 self->Drop();
+                               }
+                             });
+  }
+
+  void Disconnect() {
+    beast::error_code ignored;
+    this->socket->shutdown(Tcp::socket::shutdown_both, ignored);
+    this->socket->close(ignored);
   }
 
   void Drop() {
-    this->Close();
-    this->stream.emplace(this->session.context);
+    this->Disconnect();
+    this->socket.emplace(this->session->context);
     this->buffer.clear();
     this->connected = false;
+    this->timed_out = false;
   }
 
-  State& session;
+  std::shared_ptr<State> session;
   /// Replaced when the connection is dropped.
-  std::optional<beast::tcp_stream> stream;
+  std::optional<Tcp::socket> socket;
+  asio::steady_timer timer;
+  /// Whether the timer is set, and for when.
+  bool watching = false;
+  std::chrono::steady_clock::time_point fires_at;
   beast::flat_buffer buffer;
   http::request<http::string_body> message;
   std::optional<http::response_parser<http::string_body>> parser;
   std::optional<Call> call;
   bool connected = false;
+  bool timed_out = false;
 };
 
+void HttpSession::State::Close() {
+  this->waiting.clear();
+  for (const auto& connection : std::exchange(this->connections, {})) {
+    connection->Close();
+  }
+}
+
 void HttpSession::State::Dispatch() {
   while (!this->waiting.empty()) {
     auto idle = std::ranges::find_if(this->connections,
@@ -195,7 +263,7 @@
       if (this->connections.size() >= this->max_connections) {
         return;
       }
-      this->connections.push_back(std::make_shared<Connection>(*this));
+      this->connections.push_back(std::make_shared<Connection>(this->shared_from_this()));
       idle = std::prev(this->connections.end());
     }
     Call call = std::move(this->waiting.front());
@@ -205,23 +273,31 @@
 }
 
 HttpSession::HttpSession(const std::string& address, std::size_t max_connections)
-    : state(std::make_shared<State>(address, max_connections)) {
-  this->state->thread = std::thread([state = this->state] { state->context.run(); });
-}
+    : own_loop(std::make_unique<HttpLoop>()),
+      state(std::make_shared<State>(this->own_loop->Context(), address, max_connections)) {}
+
+HttpSession::HttpSession(HttpLoop& loop, const std::string& address, std::size_t max_connections)
+    : state(std::make_shared<State>(loop.Context(), address, max_connections)) {}
 
 HttpSession::~HttpSession() {
-  this->state->context.stop();
-  this->state->thread.join();
+  if (this->own_loop) {
+    // Ends the thread; what it held is closed below, while its context still exists.
+    this->own_loop->Stop();
+    this->state->Close();
+    return;
+  }
+  asio::post(this->state->context, [state = this->state] { state->Close(); });
 }
 
 void HttpSession::Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done) {
-  asio::post(this->state->context,
-             [state = this->state.get(),
-              call = State::Call{std::move(request), std::chrono::steady_clock::now() + timeout,
-                                 std::move(done)}]() mutable {
-               state->waiting.push_back(std::move(call));
-               state->Dispatch();
-             });
+  asio::post(
+      this->state->context,
+      [state = this->state,
+       call = State::Call{std::move(request), std::chrono::steady_clock::now() + timeout,
+                          std::move(done)}]() mutable {
+        state->waiting.push_back(std::move(call));
+        state->Dispatch();
+      });
 }
 
 HttpResult HttpSession::SendAndWait(OutgoingRequest request, std::chrono::milliseconds timeout) {
--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -4,25 +4,54 @@
 #include <json/writer.h>
 
 #include <memory>
+#include <sstream>
 #include <stdexcept>
+#include <utility>
 
 #include "protocol/utf8.h"
 
 namespace quetzalvale {
-namespace codec_detail {
+namespace {
 
-void ThrowMalformed(const std::string& path, const char* expected) {
-  throw std::invalid_argument(path + " must be " + expected);
+std::unique_ptr<Json::StreamWriter> MakeWriter() {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return std::unique_ptr<Json::StreamWriter>(builder.newStreamWriter());
 }
 
-std::string MemberPath(const std::string& path, const std::string& name) {
-  std::string member = path;
-  member += '.';
-  member += name;
-  return member;
+std::unique_ptr<Json::CharReader> MakeReader() {
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  // Strict mode allows only arrays and objects at the top; payloads may be any JSON value.
+  builder["strictRoot"] = false;
+  return std::unique_ptr<Json::CharReader>(builder.newCharReader());
 }
 
-std::int64_t ReadInteger(const Json::Value& json, const std::string& path, std::int64_t lowest,
+}  // namespace
+
+std::string FieldPath::Text() const {
+  if (this->parent == nullptr) {
+    return std::string(this->name);
+  }
+  std::string text = this->parent->Text();
+  if (this->name.empty()) {
+    text += '[';
+    text += std::to_string(this->index);
+    text += ']';
+    return text;
+  }
+  text += '.';
+  text += this->name;
+  return text;
+}
+
+namespace codec_detail {
+
+void ThrowMalformed(const FieldPath& path, const char* expected) {
+  throw std::invalid_argument(path.Text() + " must be " + expected);
+}
+
+std::int64_t ReadInteger(const Json::Value& json, const FieldPath& path, std::int64_t lowest,
                          std::int64_t highest) {
   if (!json.isInt64()) {
     ThrowMalformed(path, "an integer");
@@ -34,28 +63,28 @@
   return value;
 }
 
-std::uint64_t ReadUnsigned(const Json::Value& json, const std::string& path) {
+std::uint64_t ReadUnsigned(const Json::Value& json, const FieldPath& path) {
   if (!json.isUInt64()) {
     ThrowMalformed(path, "a non-negative integer");
   }
   return json.asUInt64();
 }
 
-double ReadDouble(const Json::Value& json, const std::string& path) {
+double ReadDouble(const Json::Value& json, const FieldPath& path) {
   if (!json.isNumeric()) {
     ThrowMalformed(path, "a number");
   }
   return json.asDouble();
 }
 
-bool ReadBool(const Json::Value& json, const std::string& path) {
+bool ReadBool(const Json::Value& json, const FieldPath& path) {
   if (!json.isBool()) {
     ThrowMalformed(path, "true or false");
   }
   return json.asBool();
 }
 
-std::string ReadString(const Json::Value& json, const std::string& path) {
+std::string ReadString(const Json::Value& json, const FieldPath& path) {
   if (!json.isString()) {
     ThrowMalformed(path, "a string");
   }
@@ -66,7 +95,7 @@
   return text;
 }
 
-std::vector<std::string> ReadNames(const Json::Value& json, const std::string& path) {
+std::vector<std::string> ReadNames(const Json::Value& json, const FieldPath& path) {
   if (!json.isObject()) {
     ThrowMalformed(path, "an object");
   }
@@ -82,17 +111,15 @@
 }  // namespace codec_detail
 
 std::string WriteJson(const Json::Value& json) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, json);
+  // Making a writer costs more than writing a short message.
+  thread_local const std::unique_ptr<Json::StreamWriter> writer = MakeWriter();
+  std::ostringstream text;
+  writer->write(json, &text);
+  return std::move(text).str();
 }
 
 Result<Json::Value> ReadJson(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  Json::CharReaderBuilder::strictMode(&builder.settings_);
-  // Strict mode allows only arrays and objects at the top; payloads may be any JSON value.
-  builder["strictRoot"] = false;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  thread_local const std::unique_ptr<Json::CharReader> reader = MakeReader();
   Json::Value json;
   std::string errors;
   try {
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 
@@ -12,18 +13,37 @@
 
 namespace quetzalvale {
 
+/// Place of a value in a message, for the text of an error. A list of its parts, because decoding
+/// names thousands of fields for each one that is malformed.
+class FieldPath {
+ public:
+  /// `name` and `parent` must outlive the object.
+  explicit FieldPath(std::string_view name) : name(name) {}
+  FieldPath(const FieldPath& parent, std::string_view name) : parent(&parent), name(name) {}
+  FieldPath(const FieldPath& parent, std::size_t index) : parent(&parent), index(index) {}
+
+  /// Such as `message.items[2].kind`.
+  std::string Text() const;
+
+ private:
+  const FieldPath* parent = nullptr;
+  /// Empty for the element of an array.
+  std::string_view name;
+  std::size_t index = 0;
+};
+
 template <typename T>
 Json::Value Encode(const T& value);
 
 /// Fills `value` from `json`. Throws std::invalid_argument that names the field at fault.
 template <typename T>
-void DecodeInto(const Json::Value& json, const std::string& path, T& value);
+void DecodeInto(const Json::Value& json, const FieldPath& path, T& value);
 
 /// Decodes a whole message. Throws std::invalid_argument that names the field at fault.
 template <typename T>
 T Decode(const Json::Value& json) {
   T value;
-  DecodeInto(json, "message", value);
+  DecodeInto(json, FieldPath("message"), value);
   return value;
 }
 
@@ -32,19 +52,16 @@
 /// Far above every limit of the settings, and far below what overflows when it is added to a time.
 inline constexpr std::chrono::years kLongestDuration(10);
 
-[[noreturn]] void ThrowMalformed(const std::string& path, const char* expected);
-
-/// Returns `path.name`, the place that a decoding error names.
-std::string MemberPath(const std::string& path, const std::string& name);
+[[noreturn]] void ThrowMalformed(const FieldPath& path, const char* expected);
 
-std::int64_t ReadInteger(const Json::Value& json, const std::string& path, std::int64_t lowest,
+std::int64_t ReadInteger(const Json::Value& json, const FieldPath& path, std::int64_t lowest,
                          std::int64_t highest);
-std::uint64_t ReadUnsigned(const Json::Value& json, const std::string& path);
-double ReadDouble(const Json::Value& json, const std::string& path);
-bool ReadBool(const Json::Value& json, const std::string& path);
-std::string ReadString(const Json::Value& json, const std::string& path);
+std::uint64_t ReadUnsigned(const Json::Value& json, const FieldPath& path);
+double ReadDouble(const Json::Value& json, const FieldPath& path);
+bool ReadBool(const Json::Value& json, const FieldPath& path);
+std::string ReadString(const Json::Value& json, const FieldPath& path);
 /// Returns the names of an object's members.
-std::vector<std::string> ReadNames(const Json::Value& json, const std::string& path);
+std::vector<std::string> ReadNames(const Json::Value& json, const FieldPath& path);
 
 /// Number of members of a message enum, to refuse numbers outside it.
 template <typename T>
@@ -74,17 +91,18 @@
 
   template <typename T>
   void operator()(const char* name, const T& field) {
-    this->json[name] = Encode(field);
+    // The names are literals, which the value need not copy.
+    this->json[Json::StaticString(name)] = Encode(field);
   }
 };
 
 struct DecodeVisitor {
   const Json::Value& json;
-  const std::string& path;
+  const FieldPath& path;
 
   template <typename T>
   void operator()(const char* name, T& field) {
-    DecodeInto(this->json[name], MemberPath(this->path, name), field);
+    DecodeInto(this->json[name], FieldPath(this->path, name), field);
   }
 };
 
@@ -144,7 +162,7 @@
 }
 
 template <typename T>
-void DecodeValue(const Json::Value& json, const std::string& path, T& value) {
+void DecodeValue(const Json::Value& json, const FieldPath& path, T& value) {
   if constexpr (HasTextForm<T>) {
     auto parsed = T::Parse(ReadString(json, path));
     if (!parsed) {
@@ -177,7 +195,7 @@
 }
 
 template <typename T>
-void DecodeValue(const Json::Value& json, const std::string& path, std::optional<T>& value) {
+void DecodeValue(const Json::Value& json, const FieldPath& path, std::optional<T>& value) {
   value.reset();
   if (!json.isNull()) {
     DecodeInto(json, path, value.emplace());
@@ -185,29 +203,29 @@
 }
 
 template <typename T>
-void DecodeValue(const Json::Value& json, const std::string& path, std::vector<T>& values) {
+void DecodeValue(const Json::Value& json, const FieldPath& path, std::vector<T>& values) {
   if (!json.isArray()) {
     ThrowMalformed(path, "an array");
   }
   values.clear();
   values.reserve(json.size());
   for (const auto& element : json) {
-    const std::string element_path = path + "[" + std::to_string(values.size()) + "]";
+    const FieldPath element_path(path, values.size());
     DecodeInto(element, element_path, values.emplace_back());
   }
 }
 
 template <typename T>
-void DecodeValue(const Json::Value& json, const std::string& path,
+void DecodeValue(const Json::Value& json, const FieldPath& path,
                  std::map<std::string, T>& values) {
   values.clear();
   for (const auto& name : ReadNames(json, path)) {
-    DecodeInto(json[name], MemberPath(path, name), values[name]);
+    DecodeInto(json[name], FieldPath(path, name), values[name]);
   }
 }
 
 template <typename T>
-void DecodeValue(const Json::Value& json, const std::string& path,
+void DecodeValue(const Json::Value& json, const FieldPath& path,
                  std::map<std::pair<std::string, std::string>, T>& values) {
   std::map<std::string, std::map<std::string, T>> nested;
   DecodeInto(json, path, nested);
@@ -227,7 +245,7 @@
 }
 
 template <typename T>
-void DecodeInto(const Json::Value& json, const std::string& path, T& value) {
+void DecodeInto(const Json::Value& json, const FieldPath& path, T& value) {
   codec_detail::DecodeValue(json, path, value);
 }
 
--- a/src/protocol/json_nesting.h
+++ b/src/protocol/json_nesting.h
@@ -1,5 +1,4 @@
 /// Depth of JSON text before it is parsed.
-// Compiled as C++14 as well, for rpc_client.
 #pragma once
 
 #include <cstddef>
--- a/src/protocol/peer_senders.cc
+++ b/src/protocol/peer_senders.cc
@@ -1,22 +1,12 @@
 #include "protocol/peer_senders.h"
 
-#include <atomic>
-#include <thread>
 #include <utility>
-#include <vector>
 
 #include "protocol/rpc_client.h"
-#include "runtime/ring.h"
 
 namespace quetzalvale {
 namespace {
 
-struct Call {
-  std::string method;
-  Json::Value parameters;
-  PeerSenders::Done done;
-};
-
 Result<Json::Value> ToResult(const std::string& address, RpcReply reply) {
   switch (reply.outcome) {
     case RpcOutcome::kOk:
@@ -33,58 +23,15 @@
 
 }  // namespace
 
-class PeerSenders::Peer {
- public:
-  Peer(std::string address, const std::string& key, std::size_t capacity,
-       std::chrono::milliseconds timeout)
-      : address(std::move(address)),
-        timeout(timeout),
-        client(this->address, key),
-        ring(capacity),
-        last_use(std::chrono::steady_clock::now()) {
-    this->thread = std::thread([this] { this->Run(); });
-  }
-
-  ~Peer() { this->Stop(); }
-
-  bool TryPush(Call& call) {
-    this->last_use = std::chrono::steady_clock::now();
-    return this->ring.TryPush(call);
-  }
-
-  void Stop() {
-    this->ring.Close();
-    if (this->thread.joinable()) {
-      this->thread.join();
-    }
-  }
-
-  bool IdleSince(std::chrono::steady_clock::time_point time) const {
-    return this->last_use.load() < time && this->ring.Size() == 0 && !this->busy;
-  }
-
-  std::uint64_t SentCalls() const { return this->sent; }
-
- private:
-  void Run() {
-    while (auto call = this->ring.Pop()) {
-      this->busy = true;
-      ++this->sent;
-      RpcReply reply = this->client.Call(call->method, call->parameters,
-                                         static_cast<int>(this->timeout.count()));
-      call->done(ToResult(this->address, std::move(reply)));
-      this->busy = false;
-    }
-  }
+struct PeerSenders::Peer {
+  Peer(HttpLoop& loop, const std::string& address, const std::string& key)
+      : client(loop, address, key) {}
 
-  std::string address;
-  std::chrono::milliseconds timeout;
   RpcClient client;
-  Ring<Call> ring;
-  std::atomic<std::chrono::steady_clock::time_point> last_use;
-  std::atomic<std::uint64_t> sent{0};
-  std::atomic<bool> busy{false};
-  std::thread thread;
+  /// Calls that have not ended.
+  std::size_t under_way = 0;
+  std::uint64_t sent = 0;
+  std::chrono::steady_clock::time_point last_use;
 };
 
 PeerSenders::PeerSenders(std::string shared_key, std::size_t capacity,
@@ -93,32 +40,56 @@
 
 PeerSenders::~PeerSenders() { this->Stop(); }
 
-void PeerSenders::Send(const std::string& address, std::string method, Json::Value parameters,
-                       Done done) {
-  Call call{std::move(method), std::move(parameters), std::move(done)};
+std::shared_ptr<PeerSenders::Peer> PeerSenders::Admit(const std::string& address) {
+  if (this->stopped) {
+    return nullptr;
+  }
+  auto& peer = this->peers[address];
+  if (!peer) {
+    peer = std::make_shared<Peer>(this->loop, address, this->shared_key);
+  }
+  if (peer->under_way >= this->capacity) {
+    return nullptr;
+  }
+  ++peer->under_way;
+  ++peer->sent;
+  ++this->under_way;
+  peer->last_use = std::chrono::steady_clock::now();
+  return peer;
+}
+
+void PeerSenders::Ended(Peer& peer) {
+  const std::lock_guard lock(this->mutex);
+  --peer.under_way;
+  --this->under_way;
+  this->idle.notify_all();
+}
+
+void PeerSenders::Send(const std::string& address, const std::string& method,
+                       Json::Value parameters, Done done) {
+  std::shared_ptr<Peer> peer;
   {
     const std::lock_guard lock(this->mutex);
-    if (!this->stopped) {
-      auto& peer = this->peers[address];
-      if (!peer) {
-        peer = std::make_shared<Peer>(address, this->shared_key, this->capacity, this->timeout);
-      }
-      if (peer->TryPush(call)) {
-        return;
-      }
-    }
+    peer = this->Admit(address);
   }
-  call.done(Error{ErrorKind::kUnreachable, "too many calls wait for " + address});
+  if (!peer) {
+    done(Error{ErrorKind::kUnreachable, "too many calls wait for " + address});
+    return;
+  }
+  peer->client.Send(method, std::move(parameters), this->timeout,
+                    [this, address, peer, done = std::move(done)](RpcReply reply) {
+                      done(ToResult(address, std::move(reply)));
+                      this->Ended(*peer);
+                    });
 }
 
-void PeerSenders::DropIdle(std::chrono::steady_clock::duration idle) {
-  const auto oldest = std::chrono::steady_clock::now() - idle;
-  std::vector<std::shared_ptr<Peer>> dropped;
+void PeerSenders::DropIdle(std::chrono::steady_clock::duration idle_time) {
+  const auto oldest = std::chrono::steady_clock::now() - idle_time;
   const std::lock_guard lock(this->mutex);
   for (auto it = this->peers.begin(); it != this->peers.end();) {
-    if (it->second->IdleSince(oldest)) {
-      this->calls_of_dropped_peers += it->second->SentCalls();
-      dropped.push_back(std::move(it->second));
+    const Peer& peer = *it->second;
+    if (peer.under_way == 0 && peer.last_use < oldest) {
+      this->calls_of_dropped_peers += peer.sent;
       it = this->peers.erase(it);
     } else {
       ++it;
@@ -127,22 +98,19 @@
 }
 
 void PeerSenders::Stop() {
-  std::map<std::string, std::shared_ptr<Peer>> stopping;
   {
-    const std::lock_guard lock(this->mutex);
+    std::unique_lock lock(this->mutex);
     this->stopped = true;
-    stopping = this->peers;
-  }
-  for (auto& [address, peer] : stopping) {
-    peer->Stop();
+    this->idle.wait(lock, [this] { return this->under_way == 0; });
   }
+  this->loop.Stop();
 }
 
 std::uint64_t PeerSenders::SentCalls() const {
   const std::lock_guard lock(this->mutex);
   std::uint64_t total = this->calls_of_dropped_peers;
   for (const auto& [address, peer] : this->peers) {
-    total += peer->SentCalls();
+    total += peer->sent;
   }
   return total;
 }
--- a/src/protocol/peer_senders.h
+++ b/src/protocol/peer_senders.h
@@ -1,9 +1,11 @@
-/// Outgoing inner calls: one thread and one connection per peer.
+/// Outgoing inner calls: one connection per peer.
 #pragma once
 
 #include <json/value.h>
 
 #include <chrono>
+#include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,11 +13,13 @@
 #include <string>
 
 #include "core/result.h"
+#include "http/http_loop.h"
 
 namespace quetzalvale {
 
-/// Sends calls to peers by address. Each peer has its own thread and bounded ring, so that a frozen
-/// peer delays no other. Calls to one peer are sent in order. Thread-safe.
+/// Sends calls to peers by address, all on one thread. Each peer has its own connection and a bound
+/// on its waiting calls, so that a frozen peer delays no other. Calls to one peer are sent in
+/// order. Thread-safe.
 class PeerSenders {
  public:
   /// Receives the result, or kUnreachable (the call was not sent) or kTimeout (the peer may have
@@ -28,26 +32,36 @@
   PeerSenders(const PeerSenders&) = delete;
   PeerSenders& operator=(const PeerSenders&) = delete;
 
-  /// Queues the call. `done` runs on the peer's thread, or on this one with kUnreachable when the
-  /// peer's ring is full.
-  void Send(const std::string& address, std::string method, Json::Value parameters, Done done);
+  /// Queues the call. `done` runs on the thread of the connections, or on this one with
+  /// kUnreachable when too many calls wait for the peer; it must not block for long.
+  void Send(const std::string& address, const std::string& method, Json::Value parameters,
+            Done done);
 
-  /// Ends the threads of peers that have had nothing to send for this long.
-  void DropIdle(std::chrono::steady_clock::duration idle);
+  /// Closes the connections to peers that have had nothing to send for this long.
+  void DropIdle(std::chrono::steady_clock::duration idle_time);
 
-  /// Sends what is queued, then ends all threads.
+  /// Waits for the end of all calls, then closes the connections. Calls sent afterwards end with
+  /// kUnreachable. May be called twice.
   void Stop();
 
   /// Number of calls sent so far, for the message count.
   std::uint64_t SentCalls() const;
 
  private:
-  class Peer;
+  struct Peer;
+
+  /// Returns the peer when the call may be sent to it. Precondition: the mutex is held.
+  std::shared_ptr<Peer> Admit(const std::string& address);
+  void Ended(Peer& peer);
 
   std::string shared_key;
   std::size_t capacity;
   std::chrono::milliseconds timeout;
+  HttpLoop loop;
   mutable std::mutex mutex;
+  std::condition_variable idle;
+  /// Calls to all peers that have not ended.
+  std::size_t under_way = 0;
   std::map<std::string, std::shared_ptr<Peer>> peers;
   std::uint64_t calls_of_dropped_peers = 0;
   bool stopped = false;
--- a/src/protocol/rpc_client.cc
+++ b/src/protocol/rpc_client.cc
@@ -1,68 +1,66 @@
 #include "protocol/rpc_client.h"
 
-#include <json/reader.h>
-#include <jsonrpccpp/client.h>
-#include <jsonrpccpp/client/connectors/httpclient.h>
-#include <jsonrpccpp/common/errors.h>
+#include <future>
+#include <utility>
 
-#include "protocol/json_nesting.h"
+#include "protocol/rpc_message.h"
 
 namespace quetzalvale {
-
 namespace {
 
-/// The library's JSON parser throws beyond 1,000 levels, inside functions whose exception
-/// specification turns that into the end of the process. No message of ours is as deep as this.
-constexpr int kMaxNesting = 900;
+constexpr int kOk = 200;
 
-/// Refuses replies that the library cannot parse.
-class BoundedHttpClient : public jsonrpc::HttpClient {
- public:
-  using jsonrpc::HttpClient::HttpClient;
+/// The peer's refusal of the whole request, such as that of a wrong key.
+RpcReply Refused(const HttpResponse& response) {
+  return {RpcOutcome::kRefused,
+          {},
+          "status " + std::to_string(response.status) + ", " + response.body};
+}
 
-  void SendRPCMessage(const std::string& message,
-                      std::string& result) throw(jsonrpc::JsonRpcException) override {
-    jsonrpc::HttpClient::SendRPCMessage(message, result);
-    if (JsonNesting(result.data(), result.size()) > kMaxNesting) {
-      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE,
-                                      "the reply is nested too deeply");
-    }
+RpcReply ToReply(const HttpResult& result) {
+  if (const auto* failure = std::get_if<HttpFailure>(&result)) {
+    const RpcOutcome outcome = failure->not_sent ? RpcOutcome::kUnreachable : RpcOutcome::kUnknown;
+    return {outcome, {}, failure->message};
+  }
+  const auto& response = std::get<HttpResponse>(result);
+  if (response.status != kOk) {
+    return Refused(response);
   }
-};
+  auto read = ReadRpcReply(response.body);
+  if (IsOk(read)) {
+    return {RpcOutcome::kOk, std::get<Json::Value>(std::move(read)), ""};
+  }
+  const bool refused = GetError(read).kind == ErrorKind::kMalformed;
+  return {refused ? RpcOutcome::kRefused : RpcOutcome::kUnknown, {}, GetError(read).message};
+}
 
 }  // namespace
 
-struct RpcClient::State {
-  State(const std::string& address, const std::string& key)
-      : connector("http://" + address), client(connector, jsonrpc::JSONRPC_CLIENT_V2) {
-    this->connector.AddHeader("X-Quetzalvale-Key", key);
-    // Without this curl waits for a "100 Continue" before it sends bodies over 1 KiB.
-    this->connector.AddHeader("Expect", "");
-  }
-
-  BoundedHttpClient connector;
-  jsonrpc::Client client;
-};
+RpcClient::RpcClient(const std::string& address, std::string shared_key)
+    : shared_key(std::move(shared_key)), session(address, 1) {}
 
-RpcClient::RpcClient(const std::string& address, const std::string& shared_key)
-    : state(new State(address, shared_key)) {}
+RpcClient::RpcClient(HttpLoop& loop, const std::string& address, std::string shared_key)
+    : shared_key(std::move(shared_key)), session(loop, address, 1) {}
 
-RpcClient::~RpcClient() = default;
+void RpcClient::Send(const std::string& method, Json::Value parameters,
+                     std::chrono::milliseconds timeout, Done done) {
+  OutgoingRequest request;
+  request.method = "POST";
+  request.target = "/";
+  request.body = WriteRpcCall(method, std::move(parameters));
+  request.headers[kRpcKeyHeader] = this->shared_key;
+  this->session.Send(
+      std::move(request), timeout,
+      [done = std::move(done)](const HttpResult& result) { done(ToReply(result)); });
+}
 
-RpcReply RpcClient::Call(const std::string& method, const Json::Value& parameters, int timeout_ms) {
-  RpcReply reply;
-  try {
-    this->state->connector.SetTimeout(timeout_ms);
-    reply.result = this->state->client.CallMethod(method, parameters);
-    reply.outcome = RpcOutcome::kOk;
-  } catch (const jsonrpc::JsonRpcException& error) {
-    reply.message = error.what();
-    const bool in_transport = error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_CONNECTOR ||
-                              error.GetCode() == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE ||
-                              error.GetCode() == jsonrpc::Errors::ERROR_RPC_JSON_PARSE_ERROR;
-    reply.outcome = in_transport ? RpcOutcome::kUnknown : RpcOutcome::kRefused;
-  }
-  return reply;
+RpcReply RpcClient::Call(const std::string& method, const Json::Value& parameters,
+                         int timeout_ms) {
+  auto promise = std::make_shared<std::promise<RpcReply>>();
+  auto future = promise->get_future();
+  this->Send(method, parameters, std::chrono::milliseconds(timeout_ms),
+             [promise](RpcReply reply) { promise->set_value(std::move(reply)); });
+  return future.get();
 }
 
 }  // namespace quetzalvale
--- a/src/protocol/rpc_client.h
+++ b/src/protocol/rpc_client.h
@@ -1,14 +1,20 @@
 /// Client side of the calls between the system's own processes.
-// Compiled as C++14 as well, because libjsonrpccpp's headers are not valid C++17.
 #pragma once
 
 #include <json/value.h>
 
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 
+#include "core/result.h"
+#include "http/http_session.h"
+
 namespace quetzalvale {
 
+class HttpLoop;
+
 /// How a call ended.
 enum class RpcOutcome {
   kOk,
@@ -27,22 +33,28 @@
   std::string message;
 };
 
-/// One kept-alive connection to one peer (libjsonrpccpp over HTTP). Not thread-safe: one thread
-/// per client.
+/// One kept-alive connection to one peer (JSON-RPC 2.0 over HTTP). Calls are sent one at a time, in
+/// order, and never a second time. Thread-safe.
 class RpcClient {
  public:
-  /// `address` is `IPv4:port`.
-  RpcClient(const std::string& address, const std::string& shared_key);
-  ~RpcClient();
-  RpcClient(const RpcClient&) = delete;
-  RpcClient& operator=(const RpcClient&) = delete;
+  using Done = std::function<void(RpcReply)>;
+
+  /// Runs on a thread of its own. `address` is `IPv4:port`.
+  RpcClient(const std::string& address, std::string shared_key);
+  /// As above, on the thread of `loop`.
+  RpcClient(HttpLoop& loop, const std::string& address, std::string shared_key);
+
+  /// Calls the method. `done` runs on the loop's thread, once.
+  void Send(const std::string& method, Json::Value parameters, std::chrono::milliseconds timeout,
+            Done done);
 
-  /// Calls the method and waits for its reply, at most `timeout_ms`.
+  /// Calls the method and waits for its reply, at most `timeout_ms`. Not for use on the loop's
+  /// thread.
   RpcReply Call(const std::string& method, const Json::Value& parameters, int timeout_ms);
 
  private:
-  struct State;
-  std::unique_ptr<State> state;
+  std::string shared_key;
+  HttpSession session;
 };
 
 }  // namespace quetzalvale
--- a/tests/agent_program/agent_process_test.cc
+++ b/tests/agent_program/agent_process_test.cc
@@ -26,7 +26,7 @@
         endpoint_address(NextLoopbackAddress()),
         journal(std::chrono::steady_clock::now(), std::chrono::system_clock::now()),
         endpoint(this->endpoint_address, EndpointOptions(), EndpointControl(), this->journal),
-        entry(this->entry_address, "key", 2),
+        entry(this->entry_address, "key"),
         agent(this->Settings(), [] {}) {
     this->entry.Register("announce", [this](const Json::Value& parameters) {
       this->announces.TryPush(Decode<Announce>(parameters));
--- a/tests/entry/entry_http_test.cc
+++ b/tests/entry/entry_http_test.cc
@@ -41,7 +41,7 @@
 /// Agent that accepts starts; their tasks end when the test says so.
 class FakeAgent {
  public:
-  FakeAgent() : server(agent_address, kKey, 2) {
+  FakeAgent() : server(agent_address, kKey) {
     this->server.Register("start", [this](const Json::Value& parameters) {
       const auto request = Decode<StartRequest>(parameters);
       StartReply reply;
--- a/tests/protocol/fuzz_test.cc
+++ b/tests/protocol/fuzz_test.cc
@@ -65,7 +65,7 @@
 
 class RpcFuzzTest : public testing::Test {
  protected:
-  RpcFuzzTest() : server(this->address, kKey, 2) {
+  RpcFuzzTest() : server(this->address, kKey) {
     for (const MessageKind& kind : this->kinds) {
       this->server.Register(kind.name, kind.recode);
     }
--- a/tests/protocol/rpc_test.cc
+++ b/tests/protocol/rpc_test.cc
@@ -16,7 +16,7 @@
 
 class RpcTest : public testing::Test {
  protected:
-  RpcTest() : server(this->address, kKey, 2) {
+  RpcTest() : server(this->address, kKey) {
     this->server.Register("echo", [](const Json::Value& parameters) { return parameters; });
     this->server.Register("fail", [](const Json::Value&) -> Json::Value {
       throw std::invalid_argument("message.x must be an integer");
@@ -92,8 +92,8 @@
 }
 
 TEST_F(RpcTest, AddressInUseFailsToStart) {
-  RpcServer second("127.0.0.1:999999", kKey, 1);
-  EXPECT_FALSE(RpcServer("not an address", kKey, 1).Start());
+  RpcServer second("127.0.0.1:999999", kKey);
+  EXPECT_FALSE(RpcServer("not an address", kKey).Start());
 }
 
 }  // namespace
