Serve metrics in the common exposition format with histograms

Cause: /metrics had bare name and value lines and quantiles of one process, which no collector can read or add up. Change: Metrics on prometheus-cpp (Debian: prometheus-cpp-dev); names with units and the prefix quetzalvale_, a HELP line from a catalogue, labels for reasons, kinds and outcomes; histograms in seconds of a job's total, wait, time away and run time, from the new action ReportJob; agents by state, configuration versions and missing log lines.

--- a/scenarios/demo.lua
+++ b/scenarios/demo.lua
@@ -35,7 +35,7 @@
 -- Messages of a process that carried no first start, outcome or answer.
 local function wasted(process)
   local metrics = read_metrics(process.settings.caller_address)
-  return (metrics.messages_sent_total or 0) - (metrics.messages_useful_total or 0)
+  return (metrics.quetzalvale_messages_sent_total or 0) - (metrics.quetzalvale_messages_useful_total or 0)
 end
 
 local function percentile(values, share)
--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -639,7 +639,7 @@
 -- A value of GET /metrics, or 0.
 function metric(address, name)
   local reply = host.call{address = address, path = "/metrics", timeout_ms = 5000}
-  return tonumber(((reply.text or "") .. "\n"):match("\n" .. name .. " ([%d.]+)")) or 0
+  return tonumber(((reply.text or "") .. "\n"):match("\nquetzalvale_" .. name .. " ([%d.]+)")) or 0
 end
 
 function Cluster:drain_agent(entry, worker)
--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -97,7 +97,7 @@
   constexpr int kUnavailable = 503;
   const bool is_get = request.method == "GET" && request.path.size() == 1;
   if (is_get && request.path[0] == "metrics") {
-    respond({200, this->MetricsText(), "text/plain"});
+    respond({200, this->MetricsText(), Metrics::kContentType});
   } else if (is_get && request.path[0] == "ready") {
     const bool ready = this->thread.IsReady();
     respond({ready ? 200 : kUnavailable,
@@ -111,16 +111,13 @@
 }
 
 std::string AgentProcess::MetricsText() {
-  const ProcessUsage usage = ReadProcessUsage();
-  this->metrics.Set("process_cpu_seconds_total", usage.cpu_seconds);
-  this->metrics.Set("process_resident_memory_bytes", static_cast<double>(usage.resident_bytes));
-  std::string text = this->metrics.Text();
+  ReportProcess(this->metrics);
   // Requests to the endpoint are counted as they are sent, inner calls by their senders.
-  const std::uint64_t inner_calls = this->senders.SentCalls();
-  text += "inner_calls_sent_total " + std::to_string(inner_calls) + "\n";
-  text += "messages_sent_total " +
-          std::to_string(inner_calls + this->metrics.Count("endpoint_requests_total")) + "\n";
-  return text;
+  const auto inner_calls = static_cast<double>(this->senders.SentCalls());
+  const auto requests = static_cast<double>(this->metrics.Count("endpoint_requests_total"));
+  this->metrics.SetTotal("inner_calls_sent_total", inner_calls);
+  this->metrics.SetTotal("messages_sent_total", inner_calls + requests);
+  return this->metrics.Text();
 }
 
 void AgentProcess::LearnEntry(const std::string& address) {
--- a/src/agent/inner_api.cc
+++ b/src/agent/inner_api.cc
@@ -13,13 +13,15 @@
   this->calls.Register<StartRequest>(server, "start", [](RequestId id, StartRequest message) {
     return StartReceived{id, std::move(message)};
   });
-  this->calls.Register<WithdrawRequest>(server, "withdraw", [](RequestId id, WithdrawRequest message) {
-    return WithdrawReceived{id, std::move(message)};
-  });
-  this->calls.Register<WithdrawRequest>(server, "stop_tasks", [](RequestId id, WithdrawRequest message) {
-    message.stop_running = true;
-    return WithdrawReceived{id, std::move(message)};
-  });
+  this->calls.Register<WithdrawRequest>(server, "withdraw",
+                                        [](RequestId id, WithdrawRequest message) {
+                                          return WithdrawReceived{id, std::move(message)};
+                                        });
+  this->calls.Register<WithdrawRequest>(server, "stop_tasks",
+                                        [](RequestId id, WithdrawRequest message) {
+                                          message.stop_running = true;
+                                          return WithdrawReceived{id, std::move(message)};
+                                        });
   this->calls.Register<SealRequest>(server, "seal", [](RequestId id, SealRequest message) {
     return SealReceived{id, std::move(message)};
   });
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -195,6 +195,8 @@
   void AnswerJob(Job& job, Answer answer);
   /// Logs the answer with what decided its time: the task that ended last.
   void LogAnswer(const Job& job, const Answer& answer);
+  /// For the metrics.
+  void Report(const Job& job, const Answer& answer);
   void EndTask(Job& job, std::uint32_t index, JobTaskState state);
   void EraseIfEnded(std::uint64_t job);
   void OnJobDue(std::uint64_t id);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -202,8 +202,19 @@
   this->Log(1040, "job_answered", std::move(line));
 }
 
+void EntryCore::Report(const Job& job, const Answer& answer) {
+  ReportJob report{job.kind, answer.status, this->now - job.submitted};
+  const auto last = std::ranges::max_element(job.tasks, {}, &Task::ended_at);
+  if (last != job.tasks.end() && last->ended_at != Time{}) {
+    report.last_task = {last->sent_at - job.submitted, last->ended_at - last->sent_at,
+                        last->run_time};
+  }
+  this->Do(std::move(report));
+}
+
 void EntryCore::AnswerJob(Job& job, Answer answer) {
   this->Count(answer);
+  this->Report(job, answer);
   this->LogAnswer(job, answer);
   ServiceState& service = *this->FindService(job.ticket.service);
   if (!job.IsRepeatable()) {
--- a/src/core/entry/entry_events.h
+++ b/src/core/entry/entry_events.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -237,6 +238,19 @@
   Acknowledgement reply;
 };
 
+/// A job was answered, for the metrics.
+struct ReportJob {
+  struct Stages {
+    Time::duration waited{};
+    Time::duration away{};
+    Time::duration run{};
+  };
+  std::string kind;
+  AnswerStatus status = AnswerStatus::kComplete;
+  Time::duration total{};
+  /// Of the task that ended last; empty when none has ended.
+  std::optional<Stages> last_task{};
+};
 /// A numbered event for the log; see docs/events.md.
 struct LogEvent {
   int number = 0;
@@ -251,6 +265,6 @@
     std::variant<AnswerCaller, GrantTickets, AnswerQuery, ClaimKey, SendStart, SendWithdraw,
                  SendSeal, SendNotice, SendHello, SendForward, SendAnswer, SendHandOver, SendCancel,
                  ReplyAnnounce, ReplyOutcomes, ReplyHello, ReplyForward, ReplyAcknowledgement,
-                 LogEvent, Departed>;
+                 ReportJob, LogEvent, Departed>;
 
 }  // namespace quetzalvale
--- a/src/entry/action_runner.cc
+++ b/src/entry/action_runner.cc
@@ -37,15 +37,15 @@
 void ActionRunner::Account(Time posted, const EntryEvent& event,
                            const std::vector<EntryAction>& actions) {
   this->parts.metrics.Add("messages_useful_total", this->accounting.CountUseful(event, actions));
-  const auto added = std::chrono::duration<double, std::micro>(this->parts.clock.Now() - posted);
+  const auto added = this->parts.clock.Now() - posted;
   const auto has = [&actions](auto is_wanted) {
     return std::any_of(actions.begin(), actions.end(), is_wanted);
   };
   if (has([](const EntryAction& action) { return std::holds_alternative<SendStart>(action); })) {
-    this->parts.metrics.Observe("added_start_latency_us", added.count());
+    this->parts.metrics.Observe("added_start_seconds", added);
   }
   if (has([](const EntryAction& action) { return std::holds_alternative<AnswerCaller>(action); })) {
-    this->parts.metrics.Observe("added_answer_latency_us", added.count());
+    this->parts.metrics.Observe("added_answer_seconds", added);
   }
 }
 
@@ -166,6 +166,18 @@
   this->parts.inner.Reply(action.request, Encode(action.reply));
 }
 
+void ActionRunner::On(ReportJob& action) {
+  const char* outcome = action.status == AnswerStatus::kComplete ? "complete" : "failed";
+  Metrics& metrics = this->parts.metrics;
+  metrics.Add("jobs_total", 1, {{"kind", action.kind}, {"outcome", outcome}});
+  metrics.Observe("job_seconds", action.total, {{"outcome", outcome}});
+  if (action.last_task) {
+    metrics.Observe("job_wait_seconds", action.last_task->waited);
+    metrics.Observe("job_away_seconds", action.last_task->away);
+    metrics.Observe("job_run_seconds", action.last_task->run);
+  }
+}
+
 void ActionRunner::On(LogEvent& action) {
   Log(LogLevel::kInfo, action.number, action.name, action.details);
 }
--- a/src/entry/action_runner.h
+++ b/src/entry/action_runner.h
@@ -57,6 +57,7 @@
   void On(ReplyHello& action);
   void On(ReplyForward& action);
   void On(ReplyAcknowledgement& action);
+  void On(ReportJob& action);
   void On(LogEvent& action);
   void On(Departed& action);
 
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -1,20 +1,17 @@
 #include "entry/entry_metrics.h"
 
+#include <map>
+
 #include "core/result.h"
 #include "runtime/process_usage.h"
 
 namespace quetzalvale {
 namespace {
 
-void AddProcess(Metrics& metrics) {
-  const ProcessUsage usage = ReadProcessUsage();
-  metrics.Set("process_cpu_seconds_total", usage.cpu_seconds);
-  metrics.Set("process_resident_memory_bytes", static_cast<double>(usage.resident_bytes));
-}
-
 void AddCounters(Metrics& metrics, const EntryCounters& counters) {
-  const auto set = [&metrics](const std::string& name, std::uint64_t value) {
-    metrics.Set(name, static_cast<double>(value));
+  const auto set = [&metrics](const char* name, std::uint64_t value,
+                              const Metrics::Labels& labels = {}) {
+    metrics.SetTotal(name, static_cast<double>(value), labels);
   };
   set("forwarded_submissions_total", counters.forwarded_submissions);
   set("salvages_total", counters.salvages);
@@ -26,10 +23,27 @@
   set("jobs_complete_total", counters.jobs_complete);
   set("tasks_started_total", counters.tasks_started);
   for (const auto& [reason, count] : counters.jobs_failed) {
-    set("jobs_failed_" + reason + "_total", count);
+    set("jobs_failed_total", count, {{"reason", reason}});
   }
   for (const auto& [kind, count] : counters.jobs_refused) {
-    set(std::string("jobs_refused_") + ErrorKindText(kind) + "_total", count);
+    set("jobs_refused_total", count, {{"reason", ErrorKindText(kind)}});
+  }
+}
+
+/// Counts the agents of all services by what this entry believes of them.
+void AddAgents(Metrics& metrics, const EntryStatus& status) {
+  std::map<std::string, double> states{{"in_use", 0}, {"leaving", 0}, {"ejected", 0}, {"lost", 0}};
+  for (const auto& service : status.services) {
+    for (const auto& agent : service.agents) {
+      const char* state = agent.leaving   ? "leaving"
+                          : agent.lost    ? "lost"
+                          : agent.ejected ? "ejected"
+                                          : "in_use";
+      ++states[state];
+    }
+  }
+  for (const auto& [state, count] : states) {
+    metrics.Set("agents", count, {{"state", state}});
   }
 }
 
@@ -37,17 +51,20 @@
 
 std::string RenderMetrics(Metrics& metrics, const EntryStatus& status,
                           std::uint64_t messages_sent) {
-  AddProcess(metrics);
+  ReportProcess(metrics);
   AddCounters(metrics, status.counters);
+  AddAgents(metrics, status);
   double queued = 0;
   double jobs = 0;
   for (const auto& service : status.services) {
     queued += static_cast<double>(service.queued_tasks);
     jobs += static_cast<double>(service.jobs_in_progress);
+    metrics.Set("configuration_version", static_cast<double>(service.configuration_version),
+                {{"service", service.service}});
   }
   metrics.Set("queued_tasks", queued);
   metrics.Set("jobs_in_progress", jobs);
-  metrics.Set("messages_sent_total", static_cast<double>(messages_sent));
+  metrics.SetTotal("messages_sent_total", static_cast<double>(messages_sent));
   return metrics.Text();
 }
 
--- a/src/entry/entry_process.cc
+++ b/src/entry/entry_process.cc
@@ -133,11 +133,11 @@
 }
 
 void EntryProcess::ServeMetrics(const HttpResponder& respond) {
-  const bool posted =
-      this->runtime.Core().PostStatusRequest([this, respond](const EntryStatus& status) {
-        const std::uint64_t sent = this->runtime.Senders().SentCalls() + this->table.SentRequests();
-        respond({200, RenderMetrics(this->runtime.Counters(), status, sent), "text/plain"});
-      });
+  const bool posted = this->runtime.Core().PostStatusRequest([this,
+                                                              respond](const EntryStatus& status) {
+    const std::uint64_t sent = this->runtime.Senders().SentCalls() + this->table.SentRequests();
+    respond({200, RenderMetrics(this->runtime.Counters(), status, sent), Metrics::kContentType});
+  });
   if (!posted) {
     respond(RenderRefusal({ErrorKind::kOverloaded, "the entry is overloaded; read them again"}));
   }
--- a/src/entry/inner_api.cc
+++ b/src/entry/inner_api.cc
@@ -16,9 +16,10 @@
   this->calls.Register<Heartbeat>(server, "heartbeat", [](RequestId id, Heartbeat message) {
     return HeartbeatReceived{id, message};
   });
-  this->calls.Register<OutcomesRequest>(server, "outcomes", [](RequestId id, OutcomesRequest message) {
-    return OutcomesReceived{id, std::move(message)};
-  });
+  this->calls.Register<OutcomesRequest>(server, "outcomes",
+                                        [](RequestId id, OutcomesRequest message) {
+                                          return OutcomesReceived{id, std::move(message)};
+                                        });
   this->calls.Register<Hello>(server, "hello", [](RequestId id, Hello message) {
     return HelloReceived{id, std::move(message)};
   });
--- a/src/load/message_counts.cc
+++ b/src/load/message_counts.cc
@@ -7,11 +7,15 @@
 MessageCounts MessageCounts::Parse(std::string_view metrics) {
   MessageCounts counts;
   std::istringstream lines{std::string(metrics)};
-  std::string name;
-  double value = 0;
-  while (lines >> name >> value) {
-    if (name == "messages_sent_total") counts.sent = value;
-    if (name == "messages_useful_total") counts.useful = value;
+  std::string line;
+  while (std::getline(lines, line)) {
+    std::istringstream parts(line);
+    std::string name;
+    double value = 0;
+    // Lines with `#` tell about the metric that follows.
+    if (!(parts >> name >> value)) continue;
+    if (name == "quetzalvale_messages_sent_total") counts.sent = value;
+    if (name == "quetzalvale_messages_useful_total") counts.useful = value;
   }
   return counts;
 }
--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -102,9 +102,13 @@
     }
     if (taken) {
       this->Push(level, std::move(line));
+    } else {
+      ++this->missing;
     }
   }
 
+  std::uint64_t Missing() const { return this->missing; }
+
   /// Waits until all lines are written, at most that long.
   void Flush(std::chrono::milliseconds patience) {
     constexpr std::chrono::milliseconds kLook{2};
@@ -132,6 +136,7 @@
                                         " program=" + this->program + " " + std::move(text)})) {
       --this->unwritten;
       ++this->dropped;
+      ++this->missing;
     }
   }
 
@@ -150,7 +155,9 @@
   std::string program;
   std::mutex mutex;
   LogBudget budget{kOrdinaryPerSecond, kWarningsPerSecond};
+  /// Not yet told of in the log.
   std::atomic<std::uint64_t> dropped{0};
+  std::atomic<std::uint64_t> missing{0};
   std::atomic<std::size_t> unwritten{0};
   Ring<Line> ring;
 };
@@ -199,6 +206,8 @@
   }
 }
 
+std::uint64_t MissingLogLines() { return writer == nullptr ? 0 : writer->Missing(); }
+
 LogLevel ParseLogLevel(std::string_view text) {
   if (text == "debug") return LogLevel::kDebug;
   if (text == "warning") return LogLevel::kWarning;
--- a/src/runtime/log.h
+++ b/src/runtime/log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,10 @@
 /// Waits until all lines are written, at most that long. Call before the process ends.
 void FlushLog(std::chrono::milliseconds patience = std::chrono::milliseconds(200));
 
+/// Returns how many lines were not written so far, over a budget or beyond the writer's ring.
+/// Thread-safe.
+std::uint64_t MissingLogLines();
+
 /// Parses debug, info, warning or error; anything else gives info.
 LogLevel ParseLogLevel(std::string_view text);
 
--- a/src/runtime/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -1,99 +1,97 @@
 #include "runtime/metrics.h"
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/mean.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
 #include <mutex>
-#include <sstream>
+#include <string_view>
+#include <utility>
+
+#include "runtime/metric_names.h"
 
 namespace quetzalvale {
 namespace {
 
-namespace acc = boost::accumulators;
-
-using Summary =
-    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max>>;
-using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+constexpr std::string_view kPrefix = "quetzalvale_";
+constexpr std::string_view kProcessPrefix = "process_";
 
-struct Distribution {
-  Summary summary;
-  Quantile p50{acc::quantile_probability = 0.5};
-  Quantile p99{acc::quantile_probability = 0.99};
+/// Upper bounds in seconds, from the time of one decision to the longest deadline.
+prometheus::Histogram::BucketBoundaries Bounds() {
+  return {0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+}
 
-  void Observe(double value) {
-    this->summary(value);
-    this->p50(value);
-    this->p99(value);
-  }
-};
+std::string PageName(const std::string& name) {
+  return name.starts_with(kProcessPrefix) ? name : std::string(kPrefix) + name;
+}
 
 }  // namespace
 
 struct Metrics::State {
-  mutable std::mutex mutex;
-  std::map<std::string, std::uint64_t, std::less<>> counters;
-  std::map<std::string, double, std::less<>> gauges;
-  std::map<std::string, Distribution, std::less<>> distributions;
+  template <typename Figure>
+  using Figures = std::map<std::pair<std::string, Labels>, Figure*>;
+
+  /// Returns the figure, made by `builder` and `arguments` if there is none yet. The lookup in the
+  /// registry would hash the labels each time.
+  template <typename Figure, typename Builder, typename... Arguments>
+  Figure& Find(Figures<Figure>& figures, Builder builder, const std::string& name,
+               const Labels& labels, Arguments&&... arguments) {
+    const std::lock_guard lock(this->mutex);
+    Figure*& figure = figures[{name, labels}];
+    if (figure == nullptr) {
+      auto& family =
+          builder.Name(PageName(name)).Help(std::string(MetricHelp(name))).Register(this->registry);
+      figure = &family.Add(labels, std::forward<Arguments>(arguments)...);
+    }
+    return *figure;
+  }
+
+  prometheus::Counter& Counter(const std::string& name, const Labels& labels) {
+    return this->Find(this->counters, prometheus::BuildCounter(), name, labels);
+  }
+
+  prometheus::Registry registry;
+  std::mutex mutex;
+  Figures<prometheus::Counter> counters;
+  Figures<prometheus::Gauge> gauges;
+  Figures<prometheus::Histogram> histograms;
 };
 
 Metrics::Metrics() : state(std::make_unique<State>()) {}
 
 Metrics::~Metrics() = default;
 
-void Metrics::Add(std::string_view name, std::uint64_t amount) {
-  const std::lock_guard lock(this->state->mutex);
-  auto found = this->state->counters.find(name);
-  if (found == this->state->counters.end()) {
-    found = this->state->counters.emplace(name, 0).first;
-  }
-  found->second += amount;
+void Metrics::Add(const std::string& name, std::uint64_t amount, const Labels& labels) {
+  this->state->Counter(name, labels).Increment(static_cast<double>(amount));
 }
 
-void Metrics::Set(std::string_view name, double value) {
-  const std::lock_guard lock(this->state->mutex);
-  this->state->gauges.insert_or_assign(std::string(name), value);
+void Metrics::SetTotal(const std::string& name, double total, const Labels& labels) {
+  prometheus::Counter& counter = this->state->Counter(name, labels);
+  counter.Increment(total - counter.Value());
 }
 
-void Metrics::Observe(std::string_view name, double value) {
-  const std::lock_guard lock(this->state->mutex);
-  auto found = this->state->distributions.find(name);
-  if (found == this->state->distributions.end()) {
-    found = this->state->distributions.try_emplace(std::string(name)).first;
-  }
-  found->second.Observe(value);
+void Metrics::Set(const std::string& name, double value, const Labels& labels) {
+  this->state->Find(this->state->gauges, prometheus::BuildGauge(), name, labels).Set(value);
+}
+
+void Metrics::Observe(const std::string& name, std::chrono::duration<double> value,
+                      const Labels& labels) {
+  this->state->Find(this->state->histograms, prometheus::BuildHistogram(), name, labels, Bounds())
+      .Observe(value.count());
 }
 
-std::uint64_t Metrics::Count(std::string_view name) const {
+std::uint64_t Metrics::Count(const std::string& name) const {
   const std::lock_guard lock(this->state->mutex);
-  const auto found = this->state->counters.find(name);
-  return found == this->state->counters.end() ? 0 : found->second;
+  const auto found = this->state->counters.find({name, Labels()});
+  return found == this->state->counters.end() ? 0
+                                              : static_cast<std::uint64_t>(found->second->Value());
 }
 
 std::string Metrics::Text() const {
-  const std::lock_guard lock(this->state->mutex);
-  std::map<std::string, std::string> lines;
-  for (const auto& [name, value] : this->state->counters) {
-    lines[name] = std::to_string(value);
-  }
-  for (const auto& [name, value] : this->state->gauges) {
-    lines[name] = std::to_string(value);
-  }
-  for (const auto& [name, distribution] : this->state->distributions) {
-    lines[name + "_count"] = std::to_string(acc::count(distribution.summary));
-    lines[name + "_mean"] = std::to_string(acc::mean(distribution.summary));
-    lines[name + "_max"] = std::to_string(acc::max(distribution.summary));
-    lines[name + "_p50"] = std::to_string(acc::p_square_quantile(distribution.p50));
-    lines[name + "_p99"] = std::to_string(acc::p_square_quantile(distribution.p99));
-  }
-  std::ostringstream text;
-  for (const auto& [name, value] : lines) {
-    text << name << ' ' << value << '\n';
-  }
-  return text.str();
+  return prometheus::TextSerializer().Serialize(this->state->registry.Collect());
 }
 
 }  // namespace quetzalvale
--- a/src/runtime/process_usage.cc
+++ b/src/runtime/process_usage.cc
@@ -5,6 +5,9 @@
 
 #include <fstream>
 
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+
 namespace quetzalvale {
 namespace {
 
@@ -28,4 +31,11 @@
   return usage;
 }
 
+void ReportProcess(Metrics& metrics) {
+  const ProcessUsage usage = ReadProcessUsage();
+  metrics.SetTotal("process_cpu_seconds_total", usage.cpu_seconds);
+  metrics.Set("process_resident_memory_bytes", static_cast<double>(usage.resident_bytes));
+  metrics.SetTotal("log_lines_dropped_total", static_cast<double>(MissingLogLines()));
+}
+
 }  // namespace quetzalvale
--- a/tests/load/caller_answer_test.cc
+++ b/tests/load/caller_answer_test.cc
@@ -70,9 +70,12 @@
 
 TEST(MessageTallyTest, CountsOnlyTheRunsMessages) {
   MessageTally tally;
-  tally.Before("a", MessageCounts::Parse("messages_sent_total 10\nmessages_useful_total 8\n"));
+  tally.Before("a", MessageCounts::Parse("# TYPE quetzalvale_messages_sent_total counter\n"
+                                         "quetzalvale_messages_sent_total 10\n"
+                                         "quetzalvale_messages_useful_total 8\n"));
   tally.Before("b", {500, 400});
-  tally.After("a", MessageCounts::Parse("x 1\nmessages_sent_total 30\nmessages_useful_total 20\n"));
+  tally.After("a", MessageCounts::Parse("x{kind=\"a b\"} 1\nquetzalvale_messages_sent_total 30\n"
+                                        "quetzalvale_messages_useful_total 20\n"));
   // The process at b started anew, so all that it counted belongs to the run.
   tally.After("b", {7, 5});
   EXPECT_EQ(tally.Total().sent, 27);
