Let the tasks of a job share an agent and its outcomes a message

A job of eight tasks on 69 agents was eight starts and eight outcomes. Change: placement prefers an endpoint that a start is about to go to; a success waits up to 20 ms while another task of its job runs on the agent. The property test then found a fault that was there before: the reply to the outcome of a refused start was taken for that of the next start of the task, whose outcome was never sent. Replies now count for what was in the batch. Tests: TargetPlacementTest, AgentCoreTest, OutcomeSenderTest.

--- a/src/core/agent/agent_core_outcomes.cc
+++ b/src/core/agent/agent_core_outcomes.cc
@@ -1,10 +1,18 @@
 // Delivery of outcomes to their owners.
+#include <algorithm>
 #include <utility>
 
 #include "core/agent/agent_core.h"
 #include "core/agent/outcome_reasons.h"
 
 namespace quetzalvale {
+namespace {
+
+/// How long a success may wait for the end of another task of its job. Below the time for which an
+/// entry's view of the room here is old in any case.
+constexpr Milliseconds kSiblingPatience{20};
+
+}  // namespace
 
 void AgentCore::FinishNotRun(const TaskKey& task, std::string_view reason) {
   this->attempts.Remove(task);
@@ -13,11 +21,20 @@
 }
 
 void AgentCore::Deliver(const TaskKey& task) {
-  if (!this->outcomes.Add(task, this->now)) {
+  const bool ok = this->store.Find(task)->outcome.ok;
+  const Milliseconds patience =
+      ok && this->HasOpenSibling(task) ? kSiblingPatience : Milliseconds(0);
+  if (!this->outcomes.Add(task, this->now, patience)) {
     this->store.Release(task, this->now);
   }
 }
 
+bool AgentCore::HasOpenSibling(const TaskKey& task) const {
+  return std::ranges::any_of(this->store.TasksOf(task.ticket), [this](const TaskKey& other) {
+    return this->store.Find(other)->state != TaskState::kFinished;
+  });
+}
+
 void AgentCore::Release(const std::vector<TaskKey>& tasks) {
   for (const auto& task : tasks) {
     this->store.Release(task, this->now);
@@ -32,9 +49,8 @@
   const auto& reply = std::get<OutcomesReply>(event.reply);
   const std::string address = this->outcomes.AddressOf(event.owner);
   if (reply.owner == event.owner) {
-    this->outcomes.Acknowledged(event.owner, event.tasks, this->now);
+    this->Release(this->outcomes.Acknowledged(event.owner, event.tasks, this->now));
     this->attempts.Heard(event.owner, this->now);
-    this->Release(event.tasks);
     this->announcer.NoteTraffic(address, this->now);
   } else {
     const std::vector<TaskKey> tasks = this->outcomes.GiveUp(event.owner);
--- a/src/core/agent/outcome_sender.cc
+++ b/src/core/agent/outcome_sender.cc
@@ -1,6 +1,7 @@
 #include "core/agent/outcome_sender.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace quetzalvale {
@@ -39,15 +40,21 @@
   }
 }
 
-bool OutcomeSender::Add(const TaskKey& task, Time now) {
+bool OutcomeSender::Add(const TaskKey& task, Time now, Milliseconds patience) {
   const auto found = this->owners.find(task.ticket.owner);
   if (found == this->owners.end() || found->second.gone) {
     return false;
   }
   Owner& owner = found->second;
+  const Time wanted = now + std::max(this->delay, patience);
   if (owner.pending.empty()) {
-    owner.due = std::max(owner.due, now + this->delay);
+    owner.due = std::max(owner.due, wanted);
+  } else if (!owner.failing_since) {
+    owner.due = std::min(owner.due, wanted);
   }
+  // An earlier outcome, of a start that did not run, is not of use any more.
+  std::erase(owner.pending, task);
+  owner.sent.erase(task);
   owner.pending.push_back(task);
   return true;
 }
@@ -82,20 +89,23 @@
   return batch;
 }
 
-void OutcomeSender::Acknowledged(const Incarnation& incarnation, const std::vector<TaskKey>& tasks,
-                                 Time now) {
+std::vector<TaskKey> OutcomeSender::Acknowledged(const Incarnation& incarnation,
+                                                 const std::vector<TaskKey>& tasks, Time now) {
   const auto found = this->owners.find(incarnation);
   if (found == this->owners.end()) {
-    return;
+    return {};
   }
   Owner& owner = found->second;
-  const std::set<TaskKey> acknowledged(tasks.begin(), tasks.end());
-  std::erase_if(owner.pending, [&](const TaskKey& task) { return acknowledged.contains(task); });
-  std::erase_if(owner.sent, [&](const TaskKey& task) { return acknowledged.contains(task); });
+  std::vector<TaskKey> acknowledged;
+  std::ranges::copy_if(tasks, std::back_inserter(acknowledged),
+                       [&](const TaskKey& task) { return owner.sent.erase(task) > 0; });
+  const std::set<TaskKey> done(acknowledged.begin(), acknowledged.end());
+  std::erase_if(owner.pending, [&](const TaskKey& task) { return done.contains(task); });
   owner.under_way_since.reset();
   owner.failing_since.reset();
   owner.pause = Milliseconds(0);
   owner.due = now;
+  return acknowledged;
 }
 
 void OutcomeSender::Failed(const Incarnation& incarnation, Time now) {
--- a/src/core/agent/outcome_sender.h
+++ b/src/core/agent/outcome_sender.h
@@ -38,14 +38,17 @@
   /// were waiting for a repeat are due at once.
   void HeardFrom(const Incarnation& owner, const std::string& address, Time now);
 
-  /// Queues the task's outcome. Returns false when the owner is gone or was never heard from.
-  bool Add(const TaskKey& task, Time now);
+  /// Queues the task's outcome, which may wait for others for `patience`. Returns false when the
+  /// owner is gone or was never heard from.
+  bool Add(const TaskKey& task, Time now, Milliseconds patience = Milliseconds(0));
 
   /// Returns the batches that are due and counts them as under way.
   std::vector<Batch> TakeDue(Time now);
 
-  /// The owner acknowledged these outcomes.
-  void Acknowledged(const Incarnation& owner, const std::vector<TaskKey>& tasks, Time now);
+  /// The owner acknowledged the batch with these tasks. Returns those whose outcome it has: a task
+  /// that was started anew and ended since has an outcome that was in no batch yet.
+  std::vector<TaskKey> Acknowledged(const Incarnation& owner, const std::vector<TaskKey>& tasks,
+                                    Time now);
 
   /// A batch was not acknowledged.
   void Failed(const Incarnation& owner, Time now);
--- a/src/core/entry/start_batcher.h
+++ b/src/core/entry/start_batcher.h
@@ -28,6 +28,9 @@
   /// Takes out the batches that are due, each of at most `limit` tasks as given to Add.
   std::vector<Batch> TakeDue(Time now);
 
+  /// Whether a batch for the agent is waiting.
+  bool Has(const Incarnation& agent) const { return this->pending.contains(agent); }
+
   bool IsEmpty() const { return this->pending.empty(); }
 
  private:
--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -106,6 +106,8 @@
   bool late = false;
   bool busy = false;
   bool scarce = false;
+  /// The task needs a message of its own.
+  bool apart = false;
   /// Expected finish; of endpoints with little room that end the task on time, its negative.
   double order_us = 0;
 
@@ -115,17 +117,20 @@
 Preference Prefer(const Candidate& candidate, const PlacementQuery& query) {
   const double finish_us = FinishUs(candidate, query);
   if (!EndsOnTime(candidate, query)) {
-    return {true, candidate.full, false, finish_us};
+    return {true, candidate.full, false, false, finish_us};
   }
   const bool busy = candidate.free_slots <= 0;
   const bool scarce = !busy && !HasAmpleRoom(candidate);
-  return {false, busy, scarce, scarce ? -finish_us : finish_us};
+  const bool apart = !busy && !candidate.joins_message;
+  return {false, busy, scarce, apart, scarce ? -finish_us : finish_us};
 }
 
 /// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a
 /// task goes to the slowest endpoint that still ends it on time, so that the fast ones stay free
 /// for those that need them. Where no endpoint ends it on time, it goes to the one that ends it
 /// first. Endpoints that are about equal are drawn from evenly, or entries would collide there.
+/// The tasks of a job share the endpoint of the first while it has room, because messages are most
+/// of what a job costs an entry.
 Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
                      Random& random) {
   std::optional<Preference> best;
--- a/src/core/policy/placement.h
+++ b/src/core/policy/placement.h
@@ -32,6 +32,8 @@
   /// Expected time until a task sent now would start there.
   Microseconds expected_wait{0};
   bool same_data_centre = true;
+  /// A message with a start is about to go there, which the task can join.
+  bool joins_message = false;
 };
 
 /// The task to be placed.
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -290,14 +290,13 @@
 }
 
 void HttpSession::Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done) {
-  asio::post(
-      this->state->context,
-      [state = this->state,
-       call = State::Call{std::move(request), std::chrono::steady_clock::now() + timeout,
-                          std::move(done)}]() mutable {
-        state->waiting.push_back(std::move(call));
-        state->Dispatch();
-      });
+  asio::post(this->state->context,
+             [state = this->state,
+              call = State::Call{std::move(request), std::chrono::steady_clock::now() + timeout,
+                                 std::move(done)}]() mutable {
+               state->waiting.push_back(std::move(call));
+               state->Dispatch();
+             });
 }
 
 HttpResult HttpSession::SendAndWait(OutgoingRequest request, std::chrono::milliseconds timeout) {
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -216,8 +216,7 @@
 }
 
 template <typename T>
-void DecodeValue(const Json::Value& json, const FieldPath& path,
-                 std::map<std::string, T>& values) {
+void DecodeValue(const Json::Value& json, const FieldPath& path, std::map<std::string, T>& values) {
   values.clear();
   for (const auto& name : ReadNames(json, path)) {
     DecodeInto(json[name], FieldPath(path, name), values[name]);
--- a/src/protocol/inner_calls.h
+++ b/src/protocol/inner_calls.h
@@ -34,8 +34,8 @@
           auto message = Decode<Message>(parameters);
           const std::uint64_t id = this->Open(std::move(respond));
           if (!this->post(make(id, std::move(message)))) {
-            this->Complete(id, Error{ErrorKind::kOverloaded,
-                                     "the process is overloaded; call again later"});
+            this->Complete(
+                id, Error{ErrorKind::kOverloaded, "the process is overloaded; call again later"});
           }
         });
   }
--- a/src/protocol/rpc_client.cc
+++ b/src/protocol/rpc_client.cc
@@ -12,9 +12,8 @@
 
 /// The peer's refusal of the whole request, such as that of a wrong key.
 RpcReply Refused(const HttpResponse& response) {
-  return {RpcOutcome::kRefused,
-          {},
-          "status " + std::to_string(response.status) + ", " + response.body};
+  return {
+      RpcOutcome::kRefused, {}, "status " + std::to_string(response.status) + ", " + response.body};
 }
 
 RpcReply ToReply(const HttpResult& result) {
@@ -49,13 +48,11 @@
   request.target = "/";
   request.body = WriteRpcCall(method, std::move(parameters));
   request.headers[kRpcKeyHeader] = this->shared_key;
-  this->session.Send(
-      std::move(request), timeout,
-      [done = std::move(done)](const HttpResult& result) { done(ToReply(result)); });
+  this->session.Send(std::move(request), timeout,
+                     [done = std::move(done)](const HttpResult& result) { done(ToReply(result)); });
 }
 
-RpcReply RpcClient::Call(const std::string& method, const Json::Value& parameters,
-                         int timeout_ms) {
+RpcReply RpcClient::Call(const std::string& method, const Json::Value& parameters, int timeout_ms) {
   auto promise = std::make_shared<std::promise<RpcReply>>();
   auto future = promise->get_future();
   this->Send(method, parameters, std::chrono::milliseconds(timeout_ms),
--- a/src/protocol/rpc_message.h
+++ b/src/protocol/rpc_message.h
@@ -31,8 +31,8 @@
 /// Returns the text of the reply to the call with this id.
 std::string WriteRpcReply(const Json::Value& id, const Result<Json::Value>& result);
 
-/// Reads a reply: its result or, with kind kMalformed, the error that the peer named. kTimeout means
-/// that the text is no reply, so that the fate of the call is not known.
+/// Reads a reply: its result or, with kind kMalformed, the error that the peer named. kTimeout
+/// means that the text is no reply, so that the fate of the call is not known.
 Result<Json::Value> ReadRpcReply(std::string_view text);
 
 }  // namespace quetzalvale
--- a/src/protocol/rpc_server.cc
+++ b/src/protocol/rpc_server.cc
@@ -45,11 +45,10 @@
 RpcServer::~RpcServer() { this->Stop(); }
 
 void RpcServer::Register(const std::string& method, Handler handler) {
-  this->RegisterAsync(method,
-                      [handler = std::move(handler)](const Json::Value& parameters,
-                                                     const Responder& respond) {
-                        respond(handler(parameters));
-                      });
+  this->RegisterAsync(method, [handler = std::move(handler)](const Json::Value& parameters,
+                                                             const Responder& respond) {
+    respond(handler(parameters));
+  });
 }
 
 void RpcServer::RegisterAsync(const std::string& method, AsyncHandler handler) {
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -62,6 +62,31 @@
   EXPECT_EQ(next[0].task, MakeTask(1, 2));
 }
 
+// Pattern: many tasks of one job on an agent, which all end within some ms. A message for each cost
+// the entry more than the job itself.
+TEST_F(AgentCoreTest, OutcomesOfOneJobShareAMessage) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1)});
+  EXPECT_TRUE(Select<SendOutcomes>(this->Finish(MakeTask(1, 0))).empty());
+  const auto sent = Select<SendOutcomes>(this->Finish(MakeTask(1, 1)));
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].message.outcomes.size(), 2U);
+}
+
+// The entry has to learn of the room and of a failure in time.
+TEST_F(AgentCoreTest, OutcomeWaitsForItsJobOnlyForAShortTime) {
+  constexpr int kAfterPatience = 20;
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1)});
+  this->Finish(MakeTask(1, 0));
+  EXPECT_EQ(Select<SendOutcomes>(this->Handle(Tick{}, kAfterPatience)).size(), 1U);
+}
+
+TEST_F(AgentCoreTest, FailureWaitsForNothing) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1)});
+  const Outcome failed{MakeTask(1, 0), false, "endpoint_failed", "null", Microseconds(5)};
+  EXPECT_EQ(Select<SendOutcomes>(this->Handle(EndpointFinished{MakeTask(1, 0), failed})).size(),
+            1U);
+}
+
 // A duplicate that arrives while leaving must not be told "leaving": its tasks are running.
 TEST_F(AgentCoreTest, RepeatedStartGetsNoRefusal) {
   this->Start(1, {MakeTask(1)});
--- a/tests/agent/senders_test.cc
+++ b/tests/agent/senders_test.cc
@@ -54,6 +54,18 @@
   EXPECT_EQ(this->DueAt(61), 1U);
 }
 
+// A task that was refused, started anew and ended while the refusal was under way: the
+// acknowledgement of the refusal was taken for that of the new outcome, which was never sent.
+TEST_F(OutcomeSenderTest, OutcomeOfALaterStartIsNotAcknowledgedWithTheEarlierOne) {
+  this->sender.Add(MakeTask(1), At(0));
+  EXPECT_EQ(this->DueAt(0), 1U);
+  this->sender.Add(MakeTask(1), At(5));
+  EXPECT_TRUE(this->sender.Acknowledged(kOwnerId, {MakeTask(1)}, At(10)).empty());
+  EXPECT_EQ(this->DueAt(10), 1U);
+  EXPECT_EQ(this->sender.Acknowledged(kOwnerId, {MakeTask(1)}, At(20)).size(), 1U);
+  EXPECT_FALSE(this->sender.HasPending(kOwnerId));
+}
+
 // Without repeats a lost message would lose the outcome.
 TEST_F(OutcomeSenderTest, RepeatsWithGrowingPauseUntilAcknowledged) {
   this->sender.Add(MakeTask(1), At(0));
--- a/tests/policy/target_placement_test.cc
+++ b/tests/policy/target_placement_test.cc
@@ -52,6 +52,19 @@
   EXPECT_EQ(Choose({Endpoint(kFast, 8, 0.8), Endpoint(kSlow, 2, 0.2)}, query), 0);
 }
 
+// Pattern: many endpoints and small entries. Eight tasks of one job on eight endpoints cost an
+// entry eight messages each way.
+TEST(TargetPlacementTest, TasksOfAJobShareAnEndpointThatHasRoom) {
+  const auto query = Query(milliseconds(60), milliseconds(156), milliseconds(1480));
+  Candidate joined = Endpoint(1, 6, 0.6);
+  joined.joins_message = true;
+  EXPECT_EQ(Choose({Endpoint(kFast, 8, 0.8), joined, Endpoint(kFast, 8, 0.8)}, query), 1);
+  joined.room_share = 0.4;
+  EXPECT_EQ(Choose({Endpoint(kFast, 8, 0.8), joined}, query), 0) << "room there is scarce";
+  joined.free_slots = 0;
+  EXPECT_EQ(Choose({joined, Endpoint(kSlow, 2, 0.2)}, query), 1) << "no room is left there";
+}
+
 // A target grows with the task's length but the deadline does not: a long task that runs longer
 // than declared would miss it on the slow endpoint.
 TEST(TargetPlacementTest, LongTaskGoesWhereALongRunStillMeetsTheDeadline) {
