Hand jobs on from small entries to larger ones

Ruled out: not being ready (all entries of a data centre are used when fewer than half are ready, and open connections stay), rejecting earlier. HttpSession resets connections that it gives up, and HttpServer does not handle a request whose peer has closed already, so that what a partition held back starts nothing late. Placement: joining the agent of another task is now limited to endpoints that end the task at about the same time.

--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <memory>
 
 namespace quetzalvale {
@@ -14,6 +15,10 @@
 /// the same best agent would collide there.
 constexpr double kEqualFinish = 0.02;
 
+/// An endpoint that another task of the job goes to is as good within this. Speeds of endpoints
+/// differ by up to two, and the fast ones have to stay free for the longest tasks.
+constexpr double kJoinFinish = 0.15;
+
 /// The busy endpoint must win by this factor. The expected wait leaves out tasks that wait at other
 /// entries, and a wait that is renewed again and again makes the longest responses. Measured on the
 /// programs where speeds differ by two, 0.45 gave p99 response ratios of 2.6 and 3.0 and large jobs
@@ -106,8 +111,6 @@
   bool late = false;
   bool busy = false;
   bool scarce = false;
-  /// The task needs a message of its own.
-  bool apart = false;
   /// Expected finish; of endpoints with little room that end the task on time, its negative.
   double order_us = 0;
 
@@ -117,20 +120,29 @@
 Preference Prefer(const Candidate& candidate, const PlacementQuery& query) {
   const double finish_us = FinishUs(candidate, query);
   if (!EndsOnTime(candidate, query)) {
-    return {true, candidate.full, false, false, finish_us};
+    return {true, candidate.full, false, finish_us};
   }
   const bool busy = candidate.free_slots <= 0;
   const bool scarce = !busy && !HasAmpleRoom(candidate);
-  const bool apart = !busy && !candidate.joins_message;
-  return {false, busy, scarce, apart, scarce ? -finish_us : finish_us};
+  return {false, busy, scarce, scarce ? -finish_us : finish_us};
+}
+
+/// Returns how much worse the expected finish is, as a part of the best; infinity when the
+/// endpoints differ in more than that.
+double DifferenceFrom(const Preference& best, Preference preference) {
+  const double difference = std::abs(preference.order_us - best.order_us);
+  preference.order_us = best.order_us;
+  return preference == best ? difference / std::max(1.0, std::abs(best.order_us))
+                            : std::numeric_limits<double>::infinity();
 }
 
 /// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a
 /// task goes to the slowest endpoint that still ends it on time, so that the fast ones stay free
 /// for those that need them. Where no endpoint ends it on time, it goes to the one that ends it
 /// first. Endpoints that are about equal are drawn from evenly, or entries would collide there.
-/// The tasks of a job share the endpoint of the first while it has room, because messages are most
-/// of what a job costs an entry.
+/// The tasks of a job share the endpoint of the first while that is about as good, because messages
+/// are most of what a job costs an entry. On a much faster one they would take what the longest
+/// tasks need.
 Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
                      Random& random) {
   std::optional<Preference> best;
@@ -140,14 +152,18 @@
   }
   Choice chosen;
   std::size_t equal = 0;
+  bool joins = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    Preference preference = Prefer(candidates[i], query);
-    const double difference = std::abs(preference.order_us - best->order_us);
-    preference.order_us = best->order_us;
-    if (preference == *best && difference <= kEqualFinish * std::abs(best->order_us)) {
-      ++equal;
-      if (Draw(equal, random) == 0) chosen = i;
+    const double difference = DifferenceFrom(*best, Prefer(candidates[i], query));
+    const bool may_join = candidates[i].joins_message && !best->late && !best->busy;
+    if (may_join && difference <= kJoinFinish) {
+      equal = joins ? equal : 0;
+      joins = true;
+    } else if (joins || difference > kEqualFinish) {
+      continue;
     }
+    ++equal;
+    if (Draw(equal, random) == 0) chosen = i;
   }
   if (chosen && candidates[*chosen].full) {
     return std::nullopt;
--- /dev/null
+++ b/src/entry/job_relay.cc
@@ -0,0 +1,72 @@
+#include "entry/job_relay.h"
+
+#include <utility>
+
+#include "runtime/entropy.h"
+
+namespace quetzalvale {
+namespace {
+
+/// Requests at once to one peer. Above what an entry hands on in the time of a long job.
+constexpr std::size_t kConnections = 256;
+
+}  // namespace
+
+JobRelay::JobRelay(double cores, const Clock& clock)
+    : clock(clock), random(DrawSeed()), shedding(cores) {}
+
+void JobRelay::SetPeers(std::vector<Shedding::Peer> peers) {
+  const std::lock_guard lock(this->mutex);
+  this->shedding.SetPeers(std::move(peers));
+}
+
+std::optional<std::string> JobRelay::Choose(Time::duration lag) {
+  const std::lock_guard lock(this->mutex);
+  const Time now = this->clock.Now();
+  this->shedding.NoteLag(lag, now);
+  return this->shedding.Choose(now, this->random);
+}
+
+HttpSession& JobRelay::SessionOf(const std::string& peer) {
+  auto& session = this->sessions[peer];
+  if (!session) {
+    session = std::make_unique<HttpSession>(this->loop, peer, kConnections);
+  }
+  return *session;
+}
+
+void JobRelay::Send(const std::string& peer, std::uint64_t exchange, OutgoingRequest request,
+                    std::chrono::milliseconds timeout, Done done) {
+  // Held while sending, so that the result finds the call.
+  const std::lock_guard lock(this->mutex);
+  HttpSession& session = this->SessionOf(peer);
+  const std::uint64_t number = session.Send(
+      std::move(request), timeout, [this, exchange, done = std::move(done)](HttpResult result) {
+        if (this->TakeCall(exchange)) {
+          done(std::move(result));
+        }
+      });
+  this->calls[exchange] = {&session, number};
+}
+
+bool JobRelay::TakeCall(std::uint64_t exchange) {
+  const std::lock_guard lock(this->mutex);
+  return this->calls.erase(exchange) > 0;
+}
+
+bool JobRelay::Abandon(std::uint64_t exchange) {
+  const std::lock_guard lock(this->mutex);
+  const auto node = this->calls.extract(exchange);
+  if (node.empty()) {
+    return false;
+  }
+  node.mapped().session->Cancel(node.mapped().number);
+  return true;
+}
+
+void JobRelay::NoteRefusal(const std::string& peer) {
+  const std::lock_guard lock(this->mutex);
+  this->shedding.NoteRefusal(peer, this->clock.Now());
+}
+
+}  // namespace quetzalvale
--- /dev/null
+++ b/src/entry/job_relay.h
@@ -0,0 +1,69 @@
+/// Hands callers' requests on to other entries.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/policy/shedding.h"
+#include "http/http_loop.h"
+#include "http/http_session.h"
+#include "runtime/clock.h"
+
+namespace quetzalvale {
+
+/// Sends part of the requests, as Shedding decides, to other entries. The peer answers each as if
+/// the caller had sent it there. When a caller closes its connection, that of its request to the
+/// peer is closed too. Thread-safe.
+class JobRelay {
+ public:
+  using Done = std::function<void(HttpResult)>;
+
+  /// `cores` is the processor share of this entry's machine; `clock` must outlive the object.
+  JobRelay(double cores, const Clock& clock);
+
+  void SetPeers(std::vector<Shedding::Peer> peers);
+
+  /// Returns the peer that should get the next request, or nothing when it stays here. `lag` is the
+  /// longest time that an event waited here lately.
+  std::optional<std::string> Choose(Time::duration lag);
+
+  /// Sends the request. `done` runs on the relay's thread, at most once: not after Abandon.
+  void Send(const std::string& peer, std::uint64_t exchange, OutgoingRequest request,
+            std::chrono::milliseconds timeout, Done done);
+
+  /// The caller of the exchange is gone. Returns whether its request was with a peer.
+  bool Abandon(std::uint64_t exchange);
+
+  /// The peer did not take a request; others get the next ones.
+  void NoteRefusal(const std::string& peer);
+
+  /// Drops what is under way. Call before what the results need is destroyed.
+  void Stop() { this->loop.Stop(); }
+
+ private:
+  struct Call {
+    HttpSession* session = nullptr;
+    std::uint64_t number = 0;
+  };
+
+  HttpSession& SessionOf(const std::string& peer);
+  bool TakeCall(std::uint64_t exchange);
+
+  const Clock& clock;
+  HttpLoop loop;
+  std::mutex mutex;
+  Random random;
+  Shedding shedding;
+  /// Kept for good: peers are few.
+  std::map<std::string, std::unique_ptr<HttpSession>> sessions;
+  std::map<std::uint64_t, Call> calls;
+};
+
+}  // namespace quetzalvale
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -1,6 +1,7 @@
 #include "http/http_server.h"
 
 #include <pplx/threadpool.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <atomic>
@@ -171,6 +172,12 @@
 
   void Handle() {
     this->server->Began();
+    // A request that a partition held back may arrive together with the end of its connection.
+    if (this->server->abandoned && this->HasPeerClosed()) {
+      this->server->Ended();
+      this->Close();
+      return;
+    }
     this->stream.expires_never();
     auto message = this->parser->release();
     this->keep_alive = message.keep_alive();
@@ -200,6 +207,11 @@
                           });
   }
 
+  bool HasPeerClosed() {
+    char next = 0;
+    return recv(this->stream.socket().native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   /// Waits for the end of the connection while the request is handled. What can be read instead is
   /// the peer's next request, which is read after the response.
   void WatchPeer() {
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -40,6 +40,7 @@
 
 struct HttpSession::State : public std::enable_shared_from_this<HttpSession::State> {
   struct Call {
+    std::uint64_t number = 0;
     OutgoingRequest request;
     std::chrono::steady_clock::time_point until;
     Done done;
@@ -53,6 +54,7 @@
         context(context) {}
 
   void Dispatch();
+  void Cancel(std::uint64_t number);
   /// Forgets all calls and closes the connections.
   void Close();
 
@@ -75,6 +77,8 @@
 
   bool IsIdle() const { return !this->call; }
 
+  bool Carries(std::uint64_t number) const { return this->call && this->call->number == number; }
+
   void Run(Call next) {
     this->call = std::move(next);
     this->Build();
@@ -219,9 +223,11 @@
                              });
   }
 
+  /// Resets the connection, so that what has not reached the peer yet, as behind a partition, never
+  /// does: the caller acts as if the peer did not have it.
   void Disconnect() {
     beast::error_code ignored;
-    this->socket->shutdown(Tcp::socket::shutdown_both, ignored);
+    this->socket->set_option(asio::socket_base::linger(true, 0), ignored);
     this->socket->close(ignored);
   }
 
@@ -272,6 +278,18 @@
   }
 }
 
+void HttpSession::State::Cancel(std::uint64_t number) {
+  std::erase_if(this->waiting, [number](const Call& call) { return call.number == number; });
+  const auto carrier = std::ranges::find_if(
+      this->connections, [number](const auto& connection) { return connection->Carries(number); });
+  if (carrier == this->connections.end()) {
+    return;
+  }
+  (*carrier)->Close();
+  this->connections.erase(carrier);
+  this->Dispatch();
+}
+
 HttpSession::HttpSession(const std::string& address, std::size_t max_connections)
     : own_loop(std::make_unique<HttpLoop>()),
       state(std::make_shared<State>(this->own_loop->Context(), address, max_connections)) {}
@@ -289,14 +307,21 @@
   asio::post(this->state->context, [state = this->state] { state->Close(); });
 }
 
-void HttpSession::Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done) {
+std::uint64_t HttpSession::Send(OutgoingRequest request, std::chrono::milliseconds timeout,
+                                Done done) {
+  const std::uint64_t number = ++this->last_call;
   asio::post(this->state->context,
-             [state = this->state,
-              call = State::Call{std::move(request), std::chrono::steady_clock::now() + timeout,
-                                 std::move(done)}]() mutable {
+             [state = this->state, call = State::Call{number, std::move(request),
+                                                      std::chrono::steady_clock::now() + timeout,
+                                                      std::move(done)}]() mutable {
                state->waiting.push_back(std::move(call));
                state->Dispatch();
              });
+  return number;
+}
+
+void HttpSession::Cancel(std::uint64_t call) {
+  asio::post(this->state->context, [state = this->state, call] { state->Cancel(call); });
 }
 
 HttpResult HttpSession::SendAndWait(OutgoingRequest request, std::chrono::milliseconds timeout) {
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -1,8 +1,10 @@
 /// Asynchronous HTTP client of one server on Boost.Beast.
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,8 +33,13 @@
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
 
-  /// `done` runs on the loop's thread, once. The timeout counts from this call.
-  void Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done);
+  /// `done` runs on the loop's thread, once. The timeout counts from this call. Returns the number
+  /// of the call.
+  std::uint64_t Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done);
+
+  /// Gives a call up: it gets no result any more, and its connection is closed, so that the peer
+  /// notices. No effect on a call that has ended.
+  void Cancel(std::uint64_t call);
 
   /// Sends and waits. Not for use on the loop's thread.
   HttpResult SendAndWait(OutgoingRequest request, std::chrono::milliseconds timeout);
@@ -42,6 +49,7 @@
   /// Set when the session has a thread of its own.
   std::unique_ptr<HttpLoop> own_loop;
   std::shared_ptr<State> state;
+  std::atomic<std::uint64_t> last_call{0};
 };
 
 }  // namespace quetzalvale
--- a/src/settings/address.cc
+++ b/src/settings/address.cc
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 
 #include <charconv>
-#include <string>
 
 namespace quetzalvale {
 
@@ -24,4 +23,8 @@
          port <= kHighestPort;
 }
 
+std::string WithPortOf(const std::string& address, const std::string& other) {
+  return address.substr(0, address.rfind(':')) + other.substr(other.rfind(':'));
+}
+
 }  // namespace quetzalvale
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -86,6 +86,34 @@
   later({200, "{}"});
 }
 
+// Behind a partition a request and the end of its connection arrive together, long after the caller
+// has given the request up and submitted it elsewhere.
+TEST_F(HttpServerTest, RequestOfAPeerThatHasClosedIsNotHandled) {
+  std::promise<void> release;
+  std::promise<void> blocked;
+  std::atomic<int> handled{0};
+  this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
+    ++handled;
+    if (request.target == "/block") {
+      blocked.set_value();
+      release.get_future().wait();
+    }
+    respond({200, "{}"});
+  });
+  RawClient blocker(this->address);
+  blocker.Send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_EQ(blocked.get_future().wait_for(kPatience), std::future_status::ready);
+  RawClient gone(this->address);
+  gone.Send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+  gone.Close();
+  release.set_value();
+  RawClient next(this->address);
+  next.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(next.Receive(), "");
+  this->server->Stop(kPatience);
+  EXPECT_EQ(handled, 2);
+}
+
 // A second request on the connection is no sign that the peer is gone.
 TEST_F(HttpServerTest, NextRequestSentEarlyIsServedAfterTheFirst) {
   HttpResponder first;
