--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -54,6 +54,8 @@
     ErrorKind kind = ErrorKind::kInternal;
     std::string message;
     bool not_run = false;
+    /// What was weighed; empty when that was not the load.
+    std::optional<LoadView> load{};
   };
 
   struct SalvagedJob {
@@ -194,9 +196,10 @@
   void TryAnswer(Job& job);
   void AnswerJob(Job& job, Answer answer);
   /// Logs the answer with what decided its time: the task that ended last.
-  void LogAnswer(const Job& job, const Answer& answer);
+  /// `last` is the task that ended last, or nullptr when none has.
+  void LogAnswer(const Job& job, const Answer& answer, const Task* last);
   /// For the metrics.
-  void Report(const Job& job, const Answer& answer);
+  void Report(const Job& job, const Answer& answer, const Task* last);
   void EndTask(Job& job, std::uint32_t index, JobTaskState state);
   void EraseIfEnded(std::uint64_t job);
   void OnJobDue(std::uint64_t id);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -11,6 +11,12 @@
 /// How long a failed job waits for the proof that nothing of it ran.
 constexpr Milliseconds kProofWait{500};
 
+/// Returns the task that ended last, or nullptr when none has.
+const Task* LastEnded(const Job& job) {
+  const auto last = std::ranges::max_element(job.tasks, {}, &Task::ended_at);
+  return last == job.tasks.end() || last->ended_at == Time{} ? nullptr : &*last;
+}
+
 const char* StatusText(AnswerStatus status) {
   switch (status) {
     case AnswerStatus::kComplete:
@@ -162,11 +168,10 @@
   this->AnswerJob(job, std::move(answer));
 }
 
-void EntryCore::LogAnswer(const Job& job, const Answer& answer) {
+void EntryCore::LogAnswer(const Job& job, const Answer& answer, const Task* last) {
   const auto millis = [](Time::duration time) {
     return std::to_string(std::chrono::duration_cast<Milliseconds>(time).count());
   };
-  const auto last = std::ranges::max_element(job.tasks, {}, &Task::ended_at);
   std::uint32_t refusals = 0;
   std::uint32_t failures = 0;
   for (const Task& task : job.tasks) {
@@ -181,9 +186,9 @@
                      " deadline_left_ms=" + millis(job.deadline - this->now) +
                      " refused_starts=" + std::to_string(refusals) +
                      " failed_runs=" + std::to_string(failures);
-  if (last != job.tasks.end() && last->ended_at != Time{}) {
+  if (last != nullptr) {
     const Agent* agent = this->directory.Find(last->agent);
-    line += " last_task=" + std::to_string(last - job.tasks.begin()) +
+    line += " last_task=" + std::to_string(last - job.tasks.data()) +
             " agent=" + (agent == nullptr ? "gone" : agent->announce.name) +
             " waited_ms=" + millis(last->sent_at - job.submitted) +
             " away_ms=" + millis(last->ended_at - last->sent_at) +
@@ -202,10 +207,9 @@
   this->Log(1040, "job_answered", std::move(line));
 }
 
-void EntryCore::Report(const Job& job, const Answer& answer) {
+void EntryCore::Report(const Job& job, const Answer& answer, const Task* last) {
   ReportJob report{job.kind, answer.status, this->now - job.submitted};
-  const auto last = std::ranges::max_element(job.tasks, {}, &Task::ended_at);
-  if (last != job.tasks.end() && last->ended_at != Time{}) {
+  if (last != nullptr) {
     report.last_task = {last->sent_at - job.submitted, last->ended_at - last->sent_at,
                         last->run_time};
   }
@@ -214,8 +218,9 @@
 
 void EntryCore::AnswerJob(Job& job, Answer answer) {
   this->Count(answer);
-  this->Report(job, answer);
-  this->LogAnswer(job, answer);
+  const Task* last = LastEnded(job);
+  this->Report(job, answer, last);
+  this->LogAnswer(job, answer, last);
   ServiceState& service = *this->FindService(job.ticket.service);
   if (!job.IsRepeatable()) {
     service.ledger.KeepAnswer(job.ticket.sequence, job.body_hash, answer, this->now);
--- a/src/core/entry/entry_core_repeatable.cc
+++ b/src/core/entry/entry_core_repeatable.cc
@@ -70,7 +70,7 @@
 
 void EntryCore::LogRejection(const ServiceState& service, const Submission& submission,
                              const Refusal& refusal) {
-  const LoadView load = this->Load(service, submission);
+  const LoadView load = refusal.load ? *refusal.load : this->Load(service, submission);
   std::string line = "job=" + submission.name + " kind=" + submission.kind +
                      " error=" + ErrorKindText(refusal.kind) +
                      " tasks=" + std::to_string(submission.tasks.size()) +
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -241,7 +241,7 @@
         std::string("no agent from when the ticket was issued is left; ") + kUseFreshTicket};
   }
   if (auto error = CheckAdmission(*service.configuration, service.model, load, submission)) {
-    return Refusal{error->kind, error->message};
+    return Refusal{error->kind, error->message, false, load};
   }
   std::size_t bytes = this->jobs.PayloadBytes();
   for (const TaskSpec& task : submission.tasks) {
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -115,7 +115,7 @@
 
  private:
   void Build() {
-    const OutgoingRequest& from = this->call->request;
+    OutgoingRequest& from = this->call->request;
     this->message = {http::string_to_verb(from.method), from.target, kHttp11};
     this->message.set(http::field::host, this->session->host);
     if (!from.authorization.empty()) {
@@ -128,7 +128,7 @@
       this->message.set(http::field::content_type, "application/json");
     }
     this->message.keep_alive(!from.once);
-    this->message.body() = from.body;
+    this->message.body() = std::move(from.body);
     this->message.prepare_payload();
   }
 
--- a/src/protocol/rpc_message.cc
+++ b/src/protocol/rpc_message.cc
@@ -43,12 +43,12 @@
   return RpcCall{json["id"], json["method"].asString(), std::move(json["params"])};
 }
 
-std::string WriteRpcReply(const Json::Value& id, const Result<Json::Value>& result) {
+std::string WriteRpcReply(const Json::Value& id, Result<Json::Value> result) {
   Json::Value reply(Json::objectValue);
   reply["jsonrpc"] = kVersion;
   reply["id"] = id;
   if (IsOk(result)) {
-    reply["result"] = std::get<Json::Value>(result);
+    reply["result"] = std::get<Json::Value>(std::move(result));
   } else {
     const Error& error = GetError(result);
     const bool malformed = error.kind == ErrorKind::kMalformed;
--- a/src/protocol/rpc_message.h
+++ b/src/protocol/rpc_message.h
@@ -10,8 +10,8 @@
 
 namespace quetzalvale {
 
-/// Header that carries the shared key of the system's processes.
-inline constexpr const char* kRpcKeyHeader = "X-Quetzalvale-Key";
+/// Header that carries the shared key of the system's processes, as HttpRequest::Header wants it.
+inline constexpr const char* kRpcKeyHeader = "x-quetzalvale-key";
 
 /// Returns the text of a call.
 std::string WriteRpcCall(const std::string& method, Json::Value parameters);
@@ -29,7 +29,7 @@
 Result<RpcCall> ReadRpcCall(std::string_view text);
 
 /// Returns the text of the reply to the call with this id.
-std::string WriteRpcReply(const Json::Value& id, const Result<Json::Value>& result);
+std::string WriteRpcReply(const Json::Value& id, Result<Json::Value> result);
 
 /// Reads a reply: its result or, with kind kMalformed, the error that the peer named. kTimeout
 /// means that the text is no reply, so that the fate of the call is not known.
--- a/src/protocol/rpc_server.cc
+++ b/src/protocol/rpc_server.cc
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 64U << 20U;
-constexpr const char* kKeyHeaderLowerCase = "x-quetzalvale-key";
 
+constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kForbidden = 403;
 constexpr int kMethodNotAllowed = 405;
@@ -60,7 +60,7 @@
 void RpcServer::Stop() { this->http.Stop(std::chrono::milliseconds(0)); }
 
 void RpcServer::Handle(const HttpRequest& request, const HttpResponder& respond) const {
-  if (!IsSameKey(this->shared_key, request.Header(kKeyHeaderLowerCase))) {
+  if (!IsSameKey(this->shared_key, request.Header(kRpcKeyHeader))) {
     respond(Refusal(kForbidden,
                     "shared key missing or wrong; set shared_key in the settings of both processes "
                     "to the same value"));
@@ -78,8 +78,8 @@
     return;
   }
   const auto& call = std::get<RpcCall>(read);
-  const Responder reply = [respond, id = call.id](const Result<Json::Value>& result) {
-    respond({200, WriteRpcReply(id, result)});
+  const Responder reply = [respond, id = call.id](Result<Json::Value> result) {
+    respond({kOk, WriteRpcReply(id, std::move(result))});
   };
   const auto handler = this->handlers.find(call.method);
   if (handler == this->handlers.end()) {
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -1,12 +1,10 @@
 #include "settings/process_settings.h"
 
-#include <fstream>
-#include <iterator>
 #include <set>
 
-#include "protocol/codec.h"
 #include "settings/address.h"
 #include "settings/schema_check.h"
+#include "settings/settings_file.h"
 
 namespace quetzalvale {
 namespace {
@@ -187,15 +185,9 @@
 }
 
 Result<ProcessSettings> LoadProcessSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  if (!file) {
-    return Error{ErrorKind::kInvalidSettings,
-                 path + ": $: cannot be read; check the path and its permissions"};
-  }
-  const auto document = ReadJson(text);
+  const auto document = ReadSettingsFile(path);
   if (!IsOk(document)) {
-    return Error{ErrorKind::kInvalidSettings, path + ": $: " + GetError(document).message};
+    return GetError(document);
   }
   return DecodeProcessSettings(std::get<Json::Value>(document), path);
 }
