--- a/tests/adapter/worker_endpoint_test.cc
+++ b/tests/adapter/worker_endpoint_test.cc
@@ -2,13 +2,17 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "http/http_server.h"
 #include "tests/support/loopback_address.h"
@@ -20,8 +24,6 @@
 const TaskKey kKey{Ticket{"s", {1, 1}, 7, 1}, 0};
 constexpr char kTask[] = "00000000000000a1.0.0.0";
 
-constexpr std::size_t kDeadlineName = sizeof("\"deadline_ms\":") - 1;
-
 /// A worker that starts what it is told and ends what the test says.
 class FakeWorker {
  public:
@@ -29,6 +31,10 @@
       : server(
             this->address, [] { return std::size_t{100000}; },
             [this](const HttpRequest& request, const HttpResponder& respond) {
+              if (this->TakeSilence(request)) {
+                // The answer never comes; the responder ends with the connection.
+                return;
+              }
               respond(this->Handle(request));
             }) {
     EXPECT_EQ(this->server.Start(), "");
@@ -40,6 +46,19 @@
     this->rejection = std::move(reason);
   }
 
+  /// The next `count` requests of this target are neither carried out nor answered.
+  void Ignore(const std::string& target, int count) {
+    const std::lock_guard lock(this->mutex);
+    this->silent_target = target;
+    this->silences = count;
+  }
+
+  /// Waits asked for by the readings of the lists since the last call.
+  std::vector<std::int64_t> TakeWaits() {
+    const std::lock_guard lock(this->mutex);
+    return std::exchange(this->waits, {});
+  }
+
   void End(const std::string& how) {
     const std::lock_guard lock(this->mutex);
     if (!this->running.empty()) {
@@ -54,6 +73,22 @@
   std::atomic<std::int64_t> lease_end{0};
 
  private:
+  /// The number after the name in a request's body, or 0.
+  static std::int64_t NumberIn(const std::string& body, const std::string& name) {
+    const std::string field = "\"" + name + "\":";
+    const std::size_t at = body.find(field);
+    return at == std::string::npos ? 0 : std::stoll(body.substr(at + field.size()));
+  }
+
+  bool TakeSilence(const HttpRequest& request) {
+    const std::lock_guard lock(this->mutex);
+    if (request.target != this->silent_target || this->silences == 0) {
+      return false;
+    }
+    --this->silences;
+    return true;
+  }
+
   /// Begins an answer with the worker's clock.
   static std::string Clock() {
     const auto now = std::chrono::steady_clock::now().time_since_epoch();
@@ -74,10 +109,8 @@
       return {200, Clock() + "}"};
     }
     if (request.target == "/api/hold") {
-      const std::size_t deadline = request.body.find("\"deadline_ms\":");
-      this->lease_end = deadline == std::string::npos
-                            ? 0
-                            : std::stoll(request.body.substr(deadline + kDeadlineName));
+      this->lease_end = NumberIn(request.body, "deadline_ms");
+      this->waits.push_back(NumberIn(request.body, "wait_ms"));
     }
     if (request.target == "/api/run-stop") {
       ++this->stops;
@@ -94,6 +127,9 @@
   /// Number of the run that runs; empty when none does.
   std::string running;
   std::string ended;
+  std::string silent_target;
+  int silences = 0;
+  std::vector<std::int64_t> waits;
   HttpServer server;
 };
 
@@ -123,17 +159,24 @@
     this->endpoint->Start(start);
   }
 
-  AgentEvent Next() {
+  std::optional<AgentEvent> TryNext(std::chrono::milliseconds patience) {
     std::unique_lock lock(this->mutex);
-    if (!this->arrived.wait_for(lock, kPatience, [this] { return !this->events.empty(); })) {
-      ADD_FAILURE() << "no event";
-      return Tick{};
+    if (!this->arrived.wait_for(lock, patience, [this] { return !this->events.empty(); })) {
+      return std::nullopt;
     }
     AgentEvent event = this->events.front();
     this->events.pop_front();
     return event;
   }
 
+  AgentEvent Next() {
+    auto event = this->TryNext(kPatience);
+    if (!event) {
+      ADD_FAILURE() << "no event";
+    }
+    return event.value_or(Tick{});
+  }
+
   SystemClock clock;
   FakeWorker worker;
   std::mutex mutex;
@@ -187,6 +230,49 @@
   EXPECT_EQ(std::get<EndpointRefused>(event).task, kKey);
 }
 
+// Orders whose answer is lost made one task in fifteen wait for 200 ms and then for the proof that
+// it had not begun, so that a third of the jobs was late (applied_late).
+TEST_F(WorkerEndpointTest, StartWithoutAnswerIsSentAgain) {
+  this->Connect();
+  this->worker.Ignore("/api/run-start", 2);
+  this->Start();
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  std::optional<AgentEvent> event;
+  while (!event && std::chrono::steady_clock::now() < until) {
+    this->worker.End("done");
+    event = this->TryNext(std::chrono::milliseconds(5));
+  }
+  ASSERT_TRUE(event);
+  const auto* finished = std::get_if<EndpointFinished>(&*event);
+  ASSERT_NE(finished, nullptr) << "the run was given up";
+  EXPECT_TRUE(std::get<Outcome>(finished->outcome).ok);
+}
+
+// The rejection is about the repeated order; the first one may still be carried out.
+TEST_F(WorkerEndpointTest, RejectedRepetitionIsNoProofThatNothingRan) {
+  this->Connect();
+  this->worker.Ignore("/api/run-start", 1);
+  this->worker.RejectStarts("room");
+  this->Start();
+  const AgentEvent event = this->Next();
+  EXPECT_TRUE(std::holds_alternative<EndpointRefused>(event));
+  EXPECT_GE(this->worker.stops, 1) << "only a stop keeps the first order from starting the task";
+}
+
+// While an answer of the lists is awaited, no end is known: the next reading must not wait for one.
+TEST_F(WorkerEndpointTest, LostListsAreReadAgainWithoutWaiting) {
+  this->Connect();
+  this->worker.Ignore("/api/hold", 1);
+  this->worker.TakeWaits();
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  std::vector<std::int64_t> waits;
+  while (std::ranges::count(waits, 0) == 0 && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    waits = this->worker.TakeWaits();
+  }
+  EXPECT_EQ(std::ranges::count(waits, 0), 1);
+}
+
 // The agent that receives the reports is destroyed when its worker's life ends; a report that is
 // being delivered at that moment used the destroyed agent.
 TEST_F(WorkerEndpointTest, FormerReceiverGetsNothingAfterItIsReplaced) {
