Close relayed connections whose client cannot be told

The relay finds the sender of a connection in the kernel's table, which is not read at one moment; without a name, or when the client had closed already, the connection passed every cut. Test: RelayHubTest.ConnectionOfAnUnknownClientIsClosed, which hangs with the former code.

--- a/src/scenario/relay_hub.cc
+++ b/src/scenario/relay_hub.cc
@@ -19,6 +19,9 @@
 /// Cuts and new relays take effect within this time.
 constexpr int kPollMs = 5;
 constexpr std::size_t kChunkBytes = 65536;
+/// The kernel's table of connections is not read at one moment, so a connection may be missing from
+/// one reading while others are opened and closed.
+constexpr int kNameTries = 5;
 
 sockaddr_in Loopback(std::uint16_t port) {
   sockaddr_in address{};
@@ -117,6 +120,15 @@
   if (client < 0) {
     return;
   }
+  std::string name;
+  for (int attempt = 0; attempt < kNameTries && name.empty(); ++attempt) {
+    name = this->name_client(ntohs(client_address.sin_port), relay.relay_port);
+  }
+  if (name.empty()) {
+    // Its owner has closed it already. What it sent would pass every cut.
+    close(client);
+    return;
+  }
   const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in target = Loopback(relay.target_port);
   // A loopback connect to a live or dead listener returns at once.
@@ -127,7 +139,6 @@
   }
   SetOptions(client);
   SetOptions(server);
-  const std::string name = this->name_client(ntohs(client_address.sin_port), relay.relay_port);
   Connection connection;
   connection.request = {client, server, name, relay.target, "", false};
   connection.request.is_request = true;
--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -1,11 +1,13 @@
 /// Tests of the scenario runner's parts; whole scripts are run by ctest from scenarios/.
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
@@ -144,6 +146,34 @@
   }
 }
 
+/// Guards against messages that pass a cut because their sender could not be told: an agent beyond
+/// a cut was heard 4 s after it and got tasks (scenario data_centre_split).
+TEST(RelayHubTest, ConnectionOfAnUnknownClientIsClosed) {
+  PortBlock ports;
+  const std::uint16_t server_port = ports.Next();
+  const std::uint16_t relay_port = ports.Next();
+  const int listener = Listen(server_port);
+  LinkTable links;
+  std::atomic<int> lookups{0};
+  RelayHub hub(links, [&lookups](std::uint16_t, std::uint16_t) {
+    // Missing from the first reading only, for the first connection.
+    return std::string(++lookups == 2 ? "client" : "");
+  });
+  hub.Add(relay_port, server_port, "server");
+  const int named = Connect(relay_port);
+  const int named_server = accept(listener, nullptr, nullptr);
+  EXPECT_EQ(send(named, "a", 1, 0), 1);
+  EXPECT_EQ(ReadByte(named_server), 'a');
+  const int unnamed = Connect(relay_port);
+  char byte = 0;
+  EXPECT_LE(recv(unnamed, &byte, 1, 0), 0);
+  fcntl(listener, F_SETFL, O_NONBLOCK);
+  EXPECT_EQ(accept(listener, nullptr, nullptr), -1) << "the target must not hear of it";
+  for (const int descriptor : {named, named_server, unnamed, listener}) {
+    close(descriptor);
+  }
+}
+
 /// Guards against cuts that hit the wrong link because the connecting process is not recognised.
 TEST(SocketOwnerTest, FindsTheProcessThatConnected) {
   PortBlock ports;
