Keep room on fast endpoints for tasks that would miss their deadline elsewhere

The failed tasks stood on slow endpoints: most run 1.3 times the expected time there, and about a third of the fleet runs 0.58 times. Bookings of more than 206 ms are late on a slow endpoint and filled the fast ones; quotes then started on slow ones. Declared run times are off by 40% and the tasks of one job are off alike. Ruled out: unknown speeds (failures as frequent at 6 s as at 2 s), waiting at the entry (0 ms for nearly all). Change: while tasks come that may miss their deadline on the slowest endpoint, a quarter of the room of much faster ones is kept from tasks that would only be late elsewhere; endpoints on which 1.9 times the expected run meets the deadline are preferred to those where only 1.45 times does. Tests: TargetPlacementTest, three new ones for the pattern.

--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -33,6 +33,10 @@
 /// again.
 constexpr Milliseconds kStartPatience{250};
 
+/// Room on fast endpoints is kept for this long after the last task that needed it. Longer than the
+/// pauses between such tasks where they are a small part of the traffic.
+constexpr std::chrono::seconds kFastRoomKept{2};
+
 bool Contains(const std::vector<Incarnation>& agents, const Incarnation& agent) {
   return std::ranges::find(agents, agent) != agents.end();
 }
@@ -248,6 +252,10 @@
   query.waiting_ahead = waiting_ahead;
   if (job.target) {
     query.on_time_left = std::chrono::duration_cast<Microseconds>(job.target->on_time - this->now);
+    if (NeedsFastEndpoint(choices.candidates, query)) {
+      service.keeps_fast_room_until = this->now + kFastRoomKept;
+    }
+    query.keeps_fast_room = this->now < service.keeps_fast_room_until;
   }
   const PlacementHook& hook =
       this->placement_override ? this->placement_override : service.placement;
--- a/src/core/entry/service_state.h
+++ b/src/core/entry/service_state.h
@@ -37,6 +37,8 @@
   HealthTracker health;
   RetryBudget retry_budget;
   PlacementHook placement;
+  /// Until then, room on fast endpoints is kept for tasks that need it.
+  Time keeps_fast_room_until{};
   /// When the retry budget is empty, a single placement is repeated at this time.
   Time next_trickle{};
   /// Agents of the service were added, removed or changed.
--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -31,6 +31,16 @@
 /// One task in ten runs longer than this multiple of its expected time.
 constexpr double kLongRun = 1.45;
 
+/// One task in twenty runs longer than this multiple, where declarations are off by 40%. The tasks
+/// of a job are of about the same length, so the job fails no more often than that.
+constexpr double kVeryLongRun = 1.9;
+
+/// Endpoints faster than the slowest by this factor are worth keeping for tasks that need them.
+constexpr double kFastFactor = 1.3;
+
+/// Share of the room on a fast endpoint that is kept for such tasks.
+constexpr double kKeptRoom = 0.25;
+
 /// Share of an endpoint's room that is free when tasks need not save it for others.
 constexpr double kAmpleRoom = 0.5;
 
@@ -97,19 +107,37 @@
   return candidate.free_slots > 0 && candidate.room_share >= kAmpleRoom;
 }
 
+/// Whether a run of `factor` times the expected length ends before the deadline.
+bool MeetsDeadline(const Candidate& candidate, const PlacementQuery& query, double factor) {
+  const double finish_us =
+      FinishUs(candidate, query) + kOverheadUs + (factor - 1) * RunUs(candidate, query);
+  return finish_us <= static_cast<double>(query.time_left.count());
+}
+
 /// Whether a task there ends on time, and before the deadline also when it runs for longer than
 /// expected. A target grows with the task; the deadline does not.
 bool EndsOnTime(const Candidate& candidate, const PlacementQuery& query) {
   const double finish_us = FinishUs(candidate, query) + kOverheadUs;
-  const double long_run_us = finish_us + (kLongRun - 1) * RunUs(candidate, query);
   return finish_us <= static_cast<double>(query.on_time_left->count()) &&
-         long_run_us <= static_cast<double>(query.time_left.count());
+         MeetsDeadline(candidate, query, kLongRun);
+}
+
+double SlowestSpeed(std::span<const Candidate> candidates) {
+  return std::ranges::min(candidates, {}, &Candidate::speed).speed;
+}
+
+/// Whether the last free room of a fast endpoint is kept from this task.
+bool IsKeptFrom(const Candidate& candidate, const PlacementQuery& query, double slowest) {
+  return query.keeps_fast_room && candidate.speed > kFastFactor * slowest &&
+         candidate.room_share < kKeptRoom && MeetsDeadline({.speed = slowest}, query, kVeryLongRun);
 }
 
 /// How good an endpoint is for a task with a target; lower is better, compared in order.
 struct Preference {
   bool late = false;
   bool busy = false;
+  /// A very long run would miss the deadline.
+  bool risky = false;
   bool scarce = false;
   /// Expected finish; of endpoints with little room that end the task on time, its negative.
   double order_us = 0;
@@ -117,14 +145,18 @@
   auto operator<=>(const Preference&) const = default;  // NOLINT(modernize-use-nullptr)
 };
 
-Preference Prefer(const Candidate& candidate, const PlacementQuery& query) {
+Preference Prefer(const Candidate& candidate, const PlacementQuery& query, double slowest) {
   const double finish_us = FinishUs(candidate, query);
   if (!EndsOnTime(candidate, query)) {
-    return {true, candidate.full, false, finish_us};
+    return {true, candidate.full, false, false, finish_us};
+  }
+  if (IsKeptFrom(candidate, query, slowest)) {
+    return {true, true, false, false, finish_us};
   }
   const bool busy = candidate.free_slots <= 0;
+  const bool risky = !MeetsDeadline(candidate, query, kVeryLongRun);
   const bool scarce = !busy && !HasAmpleRoom(candidate);
-  return {false, busy, scarce, scarce ? -finish_us : finish_us};
+  return {false, busy, risky, scarce, scarce ? -finish_us : finish_us};
 }
 
 /// Returns how much worse the expected finish is, as a part of the best; infinity when the
@@ -139,22 +171,27 @@
 /// Answers the pattern of a fleet in which few endpoints are fast enough for the longest tasks: a
 /// task goes to the slowest endpoint that still ends it on time, so that the fast ones stay free
 /// for those that need them. Where no endpoint ends it on time, it goes to the one that ends it
-/// first. Endpoints that are about equal are drawn from evenly, or entries would collide there.
-/// The tasks of a job share the endpoint of the first while that is about as good, because messages
-/// are most of what a job costs an entry. On a much faster one they would take what the longest
-/// tasks need.
+/// first. While other tasks need the fast endpoints to meet their deadlines, those that would only
+/// be late elsewhere leave some room there. Endpoints that are about equal are drawn from evenly,
+/// or entries would collide there. The tasks of a job share the endpoint of the first while that is
+/// about as good, because messages are most of what a job costs an entry. On a much faster one they
+/// would take what the longest tasks need.
 Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
                      Random& random) {
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const double slowest = SlowestSpeed(candidates);
   std::optional<Preference> best;
   for (const Candidate& candidate : candidates) {
-    const Preference preference = Prefer(candidate, query);
+    const Preference preference = Prefer(candidate, query, slowest);
     if (!best || preference < *best) best = preference;
   }
   Choice chosen;
   std::size_t equal = 0;
   bool joins = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const double difference = DifferenceFrom(*best, Prefer(candidates[i], query));
+    const double difference = DifferenceFrom(*best, Prefer(candidates[i], query, slowest));
     const bool may_join = candidates[i].joins_message && !best->late && !best->busy;
     if (may_join && difference <= kJoinFinish) {
       equal = joins ? equal : 0;
@@ -217,6 +254,15 @@
 
 }  // namespace
 
+bool NeedsFastEndpoint(std::span<const Candidate> candidates, const PlacementQuery& query) {
+  if (candidates.empty()) {
+    return false;
+  }
+  const double slowest = SlowestSpeed(candidates);
+  const double fastest = std::ranges::max(candidates, {}, &Candidate::speed).speed;
+  return fastest > kFastFactor * slowest && !MeetsDeadline({.speed = slowest}, query, kVeryLongRun);
+}
+
 PlacementHook MakePlacement(PlacementPolicy policy) {
   switch (policy) {
     case PlacementPolicy::kRandom:
--- a/src/core/policy/placement.h
+++ b/src/core/policy/placement.h
@@ -46,12 +46,18 @@
   /// Tasks at least as urgent that this entry already left waiting in the same round. They take
   /// the next slots of busy endpoints first.
   std::uint32_t waiting_ahead = 0;
+  /// Other tasks need the fast endpoints to meet their deadlines, so some room there is kept free.
+  bool keeps_fast_room = false;
 };
 
 /// Returns the position of the chosen candidate, or nothing to leave the task waiting at the entry.
 using PlacementHook = std::function<std::optional<std::size_t>(std::span<const Candidate>,
                                                                const PlacementQuery&, Random&)>;
 
+/// Whether the task might miss its deadline on the slowest of the endpoints, and some are much
+/// faster.
+bool NeedsFastEndpoint(std::span<const Candidate> candidates, const PlacementQuery& query);
+
 /// Returns the hook of the configured policy. kDefault picks the earliest expected finish and may
 /// leave a task waiting when a faster busy endpoint is expected to finish it sooner.
 PlacementHook MakePlacement(PlacementPolicy policy);
--- a/tests/policy/target_placement_test.cc
+++ b/tests/policy/target_placement_test.cc
@@ -86,6 +86,44 @@
   EXPECT_EQ(Choose({Endpoint(kSlow, 8, 0.8), Full(kFast, milliseconds(30))}, query), std::nullopt);
 }
 
+// Pattern: short tasks that are just late on the many slow endpoints fill the few fast ones, and a
+// seventh of the long tasks missed their deadline on slow endpoints.
+TEST(TargetPlacementTest, LastRoomOnFastEndpointsIsKeptForTasksThatNeedIt) {
+  auto query = Query(milliseconds(250), milliseconds(300), milliseconds(1480));
+  const std::vector<Candidate> candidates{Endpoint(kFast, 2, 0.2), Endpoint(kSlow, 2, 0.2)};
+  EXPECT_EQ(Choose(candidates, query), 0) << "nobody needs it";
+  query.keeps_fast_room = true;
+  EXPECT_EQ(Choose(candidates, query), 1);
+  EXPECT_EQ(Choose({Endpoint(kFast, 3, 0.3), Endpoint(kSlow, 2, 0.2)}, query), 0);
+  EXPECT_EQ(Choose({Endpoint(kFast, 2, 0.2), Full(kSlow, milliseconds(90))}, query), 0)
+      << "waiting there would waste the room";
+  query = Query(milliseconds(900), milliseconds(1480), milliseconds(1480));
+  query.keeps_fast_room = true;
+  EXPECT_EQ(Choose(candidates, query), 0) << "this one needs it";
+  EXPECT_EQ(Choose({Endpoint(1, 2, 0.2), Endpoint(1.1, 2, 0.2)},
+                   Query(milliseconds(60), milliseconds(156), milliseconds(1480))),
+            0)
+      << "equal endpoints are not kept for anybody";
+}
+
+TEST(TargetPlacementTest, TellsWhichTasksNeedAFastEndpoint) {
+  const std::vector<Candidate> mixed{Endpoint(kFast, 2, 0.2), Endpoint(kSlow, 2, 0.2)};
+  const std::vector<Candidate> equal{Endpoint(1, 2, 0.2), Endpoint(1.1, 2, 0.2)};
+  const auto quote = Query(milliseconds(900), milliseconds(1480), milliseconds(1480));
+  EXPECT_TRUE(NeedsFastEndpoint(mixed, quote));
+  EXPECT_FALSE(NeedsFastEndpoint(equal, quote)) << "no endpoint would help";
+  EXPECT_FALSE(
+      NeedsFastEndpoint(mixed, Query(milliseconds(200), milliseconds(300), milliseconds(1480))));
+}
+
+// Declared run times are off by 40%, and the tasks of a job are all off alike: on a slow endpoint
+// one job in five missed the deadline.
+TEST(TargetPlacementTest, TaskThatMayMissItsDeadlinePrefersTheFastEndpoint) {
+  const auto query = Query(milliseconds(700), milliseconds(1180), milliseconds(1480));
+  EXPECT_EQ(Choose({Endpoint(kFast, 2, 0.2), Endpoint(kSlow, 2, 0.2)}, query), 0);
+  EXPECT_EQ(Choose({Full(kFast, milliseconds(90)), Endpoint(kSlow, 2, 0.2)}, query), 1);
+}
+
 // When nothing is on time any more, waiting only makes it worse.
 TEST(TargetPlacementTest, LateTaskGoesWhereItEndsFirst) {
   const auto query = Query(milliseconds(900), milliseconds(300), milliseconds(300));
