--- a/cmake/scenarios.cmake
+++ b/cmake/scenarios.cmake
@@ -2,7 +2,7 @@
 # all programs, because the scripts need them.
 if(TARGET quetzalvale-entry AND TARGET quetzalvale-agent AND TARGET standin-platform AND TARGET standin-endpoint)
   file(GLOB scripts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/scenarios/*.lua)
-  list(FILTER scripts EXCLUDE REGEX "/(lib|demo)\\.lua$")
+  list(FILTER scripts EXCLUDE REGEX "/(lib|demo|soak)\\.lua$")
   foreach(script ${scripts})
     get_filename_component(scenario ${script} NAME_WE)
     add_test(NAME scenario_${scenario} COMMAND quetzalvale-scenario ${script} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
@@ -10,6 +10,17 @@
     set_tests_properties(scenario_${scenario} PROPERTIES LABELS scenario TIMEOUT 300 PROCESSORS 3)
   endforeach()
 
+  # Seeds of the randomized soak that run as tests: some for every run, and each that ever failed.
+  set(soak_seeds ${CMAKE_SOURCE_DIR}/scenarios/soak_seeds.txt)
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${soak_seeds})
+  file(STRINGS ${soak_seeds} seed_lines REGEX "^[0-9]")
+  foreach(seed_line ${seed_lines})
+    string(REGEX MATCH "^[0-9]+" seed ${seed_line})
+    add_test(NAME soak_${seed} COMMAND quetzalvale-scenario --seed=${seed} --seconds=8
+             ${CMAKE_SOURCE_DIR}/scenarios/soak.lua WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set_tests_properties(soak_${seed} PROPERTIES LABELS scenario TIMEOUT 300 PROCESSORS 3)
+  endforeach()
+
   # Test variants of the programs, from the same libraries, that run without one guard.
   foreach(role agent entry)
     add_executable(unguarded-${role} tests/unguarded/${role}_main.cc)
--- a/src/scenario/host_functions.cc
+++ b/src/scenario/host_functions.cc
@@ -138,6 +138,10 @@
     host.Links().Restore(arguments[0].asString(), arguments[1].asString());
     return Json::Value();
   });
+  script.Register("reset", [&host](const Json::Value& arguments) {
+    host.Links().Reset(arguments[0].asString(), arguments[1].asString());
+    return Json::Value();
+  });
   script.Register("hold", [&host](const Json::Value& arguments) {
     host.Links().Hold(arguments[0].asString(), arguments[1].asString());
     return Json::Value();
@@ -184,6 +188,12 @@
 }
 
 void RegisterTools(LuaScript& script, ScenarioHost& host, const std::string& root) {
+  script.Register("run_options", [&host](const Json::Value&) {
+    Json::Value options;
+    options["seed"] = Json::Int64{host.Options().seed};
+    options["seconds"] = host.Options().seconds;
+    return options;
+  });
   script.Register("now_ms",
                   [&host](const Json::Value&) { return Json::Value(host.Calls().NowMs()); });
   script.Register("sleep_ms", [](const Json::Value& arguments) {
--- a/src/scenario/link_table.cc
+++ b/src/scenario/link_table.cc
@@ -37,6 +37,17 @@
   return this->holding.contains({from, to});
 }
 
+void LinkTable::Reset(const std::string& from, const std::string& to) {
+  const std::lock_guard lock(this->mutex);
+  ++this->resets[{from, to}];
+}
+
+std::uint64_t LinkTable::Resets(const std::string& from, const std::string& to) const {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->resets.find({from, to});
+  return found == this->resets.end() ? 0 : found->second;
+}
+
 bool LinkTable::IsCut(const std::string& from, const std::string& to) const {
   const std::lock_guard lock(this->mutex);
   return this->cuts.contains({from, to});
--- a/src/scenario/link_table.h
+++ b/src/scenario/link_table.h
@@ -1,7 +1,9 @@
 /// Which directions between two processes are cut.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <set>
 #include <string>
@@ -30,6 +32,13 @@
   /// Returns whether a message is held in this direction.
   bool IsHolding(const std::string& from, const std::string& to) const;
 
+  /// Breaks off the connections that `from` has opened to `to`. Later ones are not affected.
+  void Reset(const std::string& from, const std::string& to);
+
+  /// Number of resets of the direction so far: a connection that was opened at a lower one is to be
+  /// broken off.
+  std::uint64_t Resets(const std::string& from, const std::string& to) const;
+
   bool IsCut(const std::string& from, const std::string& to) const;
 
   /// Runs `transfer` unless the direction is cut, and returns its result, or true. A cut waits for
@@ -43,6 +52,7 @@
   /// Directions whose next message is to be held, and those in which one is held.
   std::set<std::pair<std::string, std::string>> holds;
   std::set<std::pair<std::string, std::string>> holding;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> resets;
 };
 
 }  // namespace quetzalvale
--- a/src/scenario/main.cc
+++ b/src/scenario/main.cc
@@ -19,7 +19,7 @@
 
 Usage:
   quetzalvale-scenario [--programs=DIR] [--root=DIR] [--log-level=LEVEL]
-                       [--without=GUARD --violates=NUMBER] SCRIPT
+                       [--seed=N] [--seconds=S] [--without=GUARD --violates=NUMBER] SCRIPT
   quetzalvale-scenario (-h | --help)
 
 The script starts processes, and all of them are ended when it ends. `require` finds modules in the
@@ -29,6 +29,8 @@
   --programs=DIR      Folder of the built programs. Left out: the folder of this program.
   --root=DIR          Folder that holds settings/. [default: .]
   --log-level=LEVEL   debug, info, warning or error. [default: info]
+  --seed=N            Seed of a randomized script. [default: 1]
+  --seconds=S         For how long a randomized script disturbs the processes. [default: 10]
   --without=GUARD     Start the test variant of the agent or entry without this guard, such as
                       agent.is_sealed. The script must then fail.
   --violates=NUMBER   Guarantee by whose check the script must fail.
@@ -65,6 +67,8 @@
   const auto& without = arguments["--without"];
   ScenarioHost host(ProgramsFolder(arguments["--programs"]),
                     without.isString() ? without.asString() : "");
+  host.SetOptions(
+      {arguments["--seed"].asLong(), static_cast<int>(arguments["--seconds"].asLong())});
   LuaScript script(std::filesystem::absolute(file).parent_path());
   RegisterHostFunctions(script, host, arguments["--root"].asString());
   const Status status = script.Run(file);
--- a/src/scenario/relay_hub.cc
+++ b/src/scenario/relay_hub.cc
@@ -99,7 +99,9 @@
       this->Accept(relay);
     }
     for (Connection& connection : this->connections) {
-      const bool intact = this->Move(connection.request) && this->Move(connection.reply);
+      const Stream& request = connection.request;
+      const bool reset = this->links.Resets(request.from, request.to) != connection.resets;
+      const bool intact = !reset && this->Move(connection.request) && this->Move(connection.reply);
       connection.broken = !intact;
     }
     this->connections.remove_if([](Connection& connection) {
@@ -142,6 +144,7 @@
   Connection connection;
   connection.request = {client, server, name, relay.target, "", false};
   connection.request.is_request = true;
+  connection.resets = this->links.Resets(name, relay.target);
   connection.reply = {server, client, relay.target, name, "", false};
   this->connections.push_back(std::move(connection));
 }
--- a/src/scenario/relay_hub.h
+++ b/src/scenario/relay_hub.h
@@ -58,6 +58,8 @@
     Stream request;
     Stream reply;
     bool broken = false;
+    /// Resets of the link when the connection was opened.
+    std::uint64_t resets = 0;
   };
 
   void Run();
--- a/src/scenario/scenario_host.h
+++ b/src/scenario/scenario_host.h
@@ -36,6 +36,13 @@
     Json::Value settings;
   };
 
+  /// What a randomized script asks for.
+  struct RunOptions {
+    std::int64_t seed = 1;
+    /// For how long it disturbs the processes.
+    int seconds = 10;
+  };
+
   /// `programs` is the folder of the built programs. `without` names the guard to remove, as
   /// `agent.NAME` or `entry.NAME`: the test variant unguarded-agent or unguarded-entry is then
   /// started in place of the program. Empty: none.
@@ -59,6 +66,8 @@
   /// Opens a relay to the port where the process `target` listens and returns the relay's port.
   std::uint16_t AddRelay(const std::string& target, std::uint16_t target_port);
 
+  void SetOptions(const RunOptions& given) { this->options = given; }
+  const RunOptions& Options() const { return this->options; }
   LinkTable& Links() { return this->links; }
   CallRecords& Calls() { return this->calls; }
   WorkFolder& Folder() { return this->folder; }
@@ -71,6 +80,7 @@
 
   std::string programs;
   std::string without;
+  RunOptions options;
   WorkFolder folder;
   PortBlock ports;
   CallRecords calls;
