Let the tests of the relay share a fixture, and count resets from before the target hears of a connection

A connection noted the number of resets only after its target had accepted it, so a reset in between would not have broken it and the test would have waited for ever. It notes it before now. The assertions stay.

--- a/src/scenario/relay_hub.cc
+++ b/src/scenario/relay_hub.cc
@@ -131,6 +131,8 @@
     close(client);
     return;
   }
+  // Before the target knows of the connection, so that a reset from then on counts for it.
+  const std::uint64_t resets = this->links.Resets(name, relay.target);
   const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const sockaddr_in target = Loopback(relay.target_port);
   // A loopback connect to a live or dead listener returns at once.
@@ -144,7 +146,7 @@
   Connection connection;
   connection.request = {client, server, name, relay.target, "", false};
   connection.request.is_request = true;
-  connection.resets = this->links.Resets(name, relay.target);
+  connection.resets = resets;
   connection.reply = {server, client, relay.target, name, "", false};
   this->connections.push_back(std::move(connection));
 }
--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -7,11 +7,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <csignal>
 #include <fstream>
+#include <functional>
 #include <stdexcept>
+#include <string>
 #include <thread>
+#include <vector>
 
 #include "scenario/child_process.h"
 #include "scenario/lua_script.h"
@@ -91,111 +93,117 @@
   return byte;
 }
 
-/// Guards against a cut that loses bytes for good, or that also cuts the other direction. The byte
-/// sent back through the open direction shows that the relay has run meanwhile.
-TEST(RelayHubTest, HoldsBackOnlyTheCutDirection) {
+/// A relay in front of a server, whose clients are named as the test says.
+class RelayHubTest : public testing::Test {
+ protected:
+  /// Both ends of a connection through the relay.
+  struct Link {
+    int client = -1;
+    int server = -1;
+  };
+
+  RelayHubTest()
+      : server_port(this->ports.Next()),
+        relay_port(this->ports.Next()),
+        listener(Listen(this->server_port)),
+        hub(this->links, [this](std::uint16_t, std::uint16_t) { return this->name_client(); }) {
+    this->hub.Add(this->relay_port, this->server_port, "server");
+  }
+
+  ~RelayHubTest() override {
+    for (const int descriptor : this->open) {
+      close(descriptor);
+    }
+    close(this->listener);
+  }
+
+  int OpenClient() {
+    this->open.push_back(Connect(this->relay_port));
+    return this->open.back();
+  }
+
+  Link Open() {
+    const int client = this->OpenClient();
+    this->open.push_back(accept(this->listener, nullptr, nullptr));
+    return {client, this->open.back()};
+  }
+
+  static void Send(int descriptor, const char* byte) { EXPECT_EQ(send(descriptor, byte, 1, 0), 1); }
+
+  static bool HasByte(int descriptor) {
+    char byte = 0;
+    return recv(descriptor, &byte, 1, MSG_DONTWAIT) != -1;
+  }
+
+  /// Waits for the end of the connection.
+  static void ExpectEnd(int descriptor) {
+    char byte = 0;
+    EXPECT_LE(recv(descriptor, &byte, 1, 0), 0);
+  }
+
   PortBlock ports;
-  const std::uint16_t server_port = ports.Next();
-  const std::uint16_t relay_port = ports.Next();
-  const int listener = Listen(server_port);
+  std::uint16_t server_port;
+  std::uint16_t relay_port;
+  int listener;
+  std::vector<int> open;
   LinkTable links;
-  RelayHub hub(links, [](std::uint16_t, std::uint16_t) { return "client"; });
-  hub.Add(relay_port, server_port, "server");
-  const int client = Connect(relay_port);
-  const int server = accept(listener, nullptr, nullptr);
-  links.Cut("client", "server");
-  EXPECT_EQ(send(client, "a", 1, 0), 1);
-  EXPECT_EQ(send(server, "b", 1, 0), 1);
-  EXPECT_EQ(ReadByte(client), 'b');
-  char byte = 0;
-  EXPECT_EQ(recv(server, &byte, 1, MSG_DONTWAIT), -1);
-  links.Restore("client", "server");
-  EXPECT_EQ(ReadByte(server), 'a');
-  close(client);
-  close(server);
-  close(listener);
+  /// Runs on the relay's thread; to be set before the first connection.
+  std::function<std::string()> name_client = [] { return "client"; };
+  RelayHub hub;
+};
+
+/// Guards against a cut that loses bytes for good, or that also cuts the other direction. The byte
+/// sent back through the open direction shows that the relay has run meanwhile.
+TEST_F(RelayHubTest, HoldsBackOnlyTheCutDirection) {
+  const Link link = this->Open();
+  this->links.Cut("client", "server");
+  Send(link.client, "a");
+  Send(link.server, "b");
+  EXPECT_EQ(ReadByte(link.client), 'b');
+  EXPECT_FALSE(HasByte(link.server));
+  this->links.Restore("client", "server");
+  EXPECT_EQ(ReadByte(link.server), 'a');
 }
 
 /// Guards against a hold that also delays later messages, so that a delayed start could not be
 /// overtaken by its withdrawal.
-TEST(RelayHubTest, HoldsOneMessageWhileOthersPass) {
-  PortBlock ports;
-  const std::uint16_t server_port = ports.Next();
-  const std::uint16_t relay_port = ports.Next();
-  const int listener = Listen(server_port);
-  LinkTable links;
-  RelayHub hub(links, [](std::uint16_t, std::uint16_t) { return "client"; });
-  hub.Add(relay_port, server_port, "server");
-  links.Hold("client", "server");
-  const int first = Connect(relay_port);
-  const int first_server = accept(listener, nullptr, nullptr);
-  EXPECT_EQ(send(first, "a", 1, 0), 1);
-  while (!links.IsHolding("client", "server")) {
+TEST_F(RelayHubTest, HoldsOneMessageWhileOthersPass) {
+  this->links.Hold("client", "server");
+  const Link first = this->Open();
+  Send(first.client, "a");
+  while (!this->links.IsHolding("client", "server")) {
     std::this_thread::yield();
   }
-  const int second = Connect(relay_port);
-  const int second_server = accept(listener, nullptr, nullptr);
-  EXPECT_EQ(send(second, "b", 1, 0), 1);
-  EXPECT_EQ(ReadByte(second_server), 'b');
-  char byte = 0;
-  EXPECT_EQ(recv(first_server, &byte, 1, MSG_DONTWAIT), -1);
-  links.Release("client", "server");
-  EXPECT_EQ(ReadByte(first_server), 'a');
-  for (const int descriptor : {first, first_server, second, second_server, listener}) {
-    close(descriptor);
-  }
+  const Link second = this->Open();
+  Send(second.client, "b");
+  EXPECT_EQ(ReadByte(second.server), 'b');
+  EXPECT_FALSE(HasByte(first.server));
+  this->links.Release("client", "server");
+  EXPECT_EQ(ReadByte(first.server), 'a');
 }
 
 /// Guards against a reset that leaves the connection open, or that also breaks later ones.
-TEST(RelayHubTest, ResetBreaksOffTheOpenConnectionsOnly) {
-  PortBlock ports;
-  const std::uint16_t server_port = ports.Next();
-  const std::uint16_t relay_port = ports.Next();
-  const int listener = Listen(server_port);
-  LinkTable links;
-  RelayHub hub(links, [](std::uint16_t, std::uint16_t) { return "client"; });
-  hub.Add(relay_port, server_port, "server");
-  const int first = Connect(relay_port);
-  const int first_server = accept(listener, nullptr, nullptr);
-  links.Reset("client", "server");
-  char byte = 0;
-  EXPECT_LE(recv(first, &byte, 1, 0), 0);
-  EXPECT_LE(recv(first_server, &byte, 1, 0), 0);
-  const int second = Connect(relay_port);
-  const int second_server = accept(listener, nullptr, nullptr);
-  EXPECT_EQ(send(second, "b", 1, 0), 1);
-  EXPECT_EQ(ReadByte(second_server), 'b');
-  for (const int descriptor : {first, first_server, second, second_server, listener}) {
-    close(descriptor);
-  }
+TEST_F(RelayHubTest, ResetBreaksOffTheOpenConnectionsOnly) {
+  const Link first = this->Open();
+  this->links.Reset("client", "server");
+  ExpectEnd(first.client);
+  ExpectEnd(first.server);
+  const Link second = this->Open();
+  Send(second.client, "b");
+  EXPECT_EQ(ReadByte(second.server), 'b');
 }
 
 /// Guards against messages that pass a cut because their sender could not be told: an agent beyond
 /// a cut was heard 4 s after it and got tasks (scenario data_centre_split).
-TEST(RelayHubTest, ConnectionOfAnUnknownClientIsClosed) {
-  PortBlock ports;
-  const std::uint16_t server_port = ports.Next();
-  const std::uint16_t relay_port = ports.Next();
-  const int listener = Listen(server_port);
-  LinkTable links;
-  std::atomic<int> lookups{0};
-  RelayHub hub(links, [&lookups](std::uint16_t, std::uint16_t) {
-    // Missing from the first reading only, for the first connection.
-    return std::string(++lookups == 2 ? "client" : "");
-  });
-  hub.Add(relay_port, server_port, "server");
-  const int named = Connect(relay_port);
-  const int named_server = accept(listener, nullptr, nullptr);
-  EXPECT_EQ(send(named, "a", 1, 0), 1);
-  EXPECT_EQ(ReadByte(named_server), 'a');
-  const int unnamed = Connect(relay_port);
-  char byte = 0;
-  EXPECT_LE(recv(unnamed, &byte, 1, 0), 0);
-  fcntl(listener, F_SETFL, O_NONBLOCK);
-  EXPECT_EQ(accept(listener, nullptr, nullptr), -1) << "the target must not hear of it";
-  for (const int descriptor : {named, named_server, unnamed, listener}) {
-    close(descriptor);
-  }
+TEST_F(RelayHubTest, ConnectionOfAnUnknownClientIsClosed) {
+  // Missing from the first reading only, for the first connection.
+  this->name_client = [lookups = 0]() mutable { return ++lookups == 2 ? "client" : ""; };
+  const Link named = this->Open();
+  Send(named.client, "a");
+  EXPECT_EQ(ReadByte(named.server), 'a');
+  ExpectEnd(this->OpenClient());
+  fcntl(this->listener, F_SETFL, O_NONBLOCK);
+  EXPECT_EQ(accept(this->listener, nullptr, nullptr), -1) << "the target must not hear of it";
 }
 
 /// Guards against cuts that hit the wrong link because the connecting process is not recognised.
