--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <memory>
+#include <vector>
 
 namespace quetzalvale {
 namespace {
@@ -184,17 +185,18 @@
     return std::nullopt;
   }
   const double slowest = SlowestSpeed(candidates);
-  std::optional<Preference> best;
+  std::vector<Preference> preferences;
+  preferences.reserve(candidates.size());
   for (const Candidate& candidate : candidates) {
-    const Preference preference = Prefer(candidate, query, slowest);
-    if (!best || preference < *best) best = preference;
+    preferences.push_back(Prefer(candidate, query, slowest));
   }
+  const Preference& best = *std::ranges::min_element(preferences);
   Choice chosen;
   std::size_t equal = 0;
   bool joins = false;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    const double difference = DifferenceFrom(*best, Prefer(candidates[i], query, slowest));
-    const bool may_join = candidates[i].joins_message && !best->late && !best->busy;
+    const double difference = DifferenceFrom(best, preferences[i]);
+    const bool may_join = candidates[i].joins_message && !best.late && !best.busy;
     if (may_join && difference <= kJoinFinish) {
       equal = joins ? equal : 0;
       joins = true;
--- a/src/protocol/rpc_server.cc
+++ b/src/protocol/rpc_server.cc
@@ -94,8 +94,7 @@
   const auto give = [respond](Result<RpcValue> result) {
     if (!IsOk(result)) {
       const Error& error = GetError(result);
-      const bool malformed = error.kind == ErrorKind::kMalformed;
-      respond(Refusal(malformed ? kBadRequest : HttpStatus(error.kind), error.message));
+      respond(Refusal(HttpStatus(error.kind), error.message));
       return;
     }
     auto& packed = std::get<PackedMessage>(std::get<RpcValue>(result));
--- a/tests/protocol/packed_codec_test.cc
+++ b/tests/protocol/packed_codec_test.cc
@@ -69,32 +69,32 @@
   EXPECT_EQ(Unpack<StartItem>(Pack(item).bytes).time_left, Milliseconds(-1));
 }
 
-// A newer process adds fields at the end; during a rolling replacement both versions talk.
-TEST(PackedCodecTest, FieldsAtTheEndMayBeMissingOrUnknown) {
-  std::string shorter;
-  packed_detail::TextStream stream{shorter};
+/// An array of `size` elements, which begins with an identity and goes on with what `rest` packs.
+template <typename Rest>
+std::string PackArray(std::uint32_t size, Rest rest) {
+  std::string bytes;
+  packed_detail::TextStream stream{bytes};
   packed_detail::Packer packer(stream);
-  packer.pack_array(1);
+  packer.pack_array(size);
   packed_detail::PackValue(packer, Incarnation{3, 4});
-  EXPECT_EQ(Unpack<OutcomesReply>(shorter).configuration_version, 0U);
+  rest(packer);
+  return bytes;
+}
 
-  std::string longer;
-  packed_detail::TextStream longer_stream{longer};
-  packed_detail::Packer longer_packer(longer_stream);
-  longer_packer.pack_array(3);
-  packed_detail::PackValue(longer_packer, Incarnation{3, 4});
-  longer_packer.pack_uint64(7);
-  packed_detail::PackValue(longer_packer, std::string("a field of a later version"));
+// A newer process adds fields at the end; during a rolling replacement both versions talk.
+TEST(PackedCodecTest, FieldsAtTheEndMayBeMissingOrUnknown) {
+  const std::string shorter = PackArray(1, [](auto&) {});
+  EXPECT_EQ(Unpack<OutcomesReply>(shorter).configuration_version, 0U);
+  const std::string longer = PackArray(3, [](auto& packer) {
+    packer.pack_uint64(7);
+    packed_detail::PackValue(packer, std::string("a field of a later version"));
+  });
   EXPECT_EQ(Unpack<OutcomesReply>(longer).configuration_version, 7U);
 }
 
 TEST(PackedCodecTest, WrongFieldIsNamed) {
-  std::string bytes;
-  packed_detail::TextStream stream{bytes};
-  packed_detail::Packer packer(stream);
-  packer.pack_array(2);
-  packed_detail::PackValue(packer, Incarnation{3, 4});
-  packed_detail::PackValue(packer, std::string("nonsense"));
+  const std::string bytes =
+      PackArray(2, [](auto& packer) { packed_detail::PackValue(packer, std::string("nonsense")); });
   try {
     Unpack<OutcomesReply>(bytes);
     FAIL() << "accepted a text as a version";
