--- a/operator/quetzalvale.py
+++ b/operator/quetzalvale.py
@@ -228,6 +228,7 @@
     agent_queue: int = 2
     retry_share: float = 0.2
     subset_size: int = 64
+    remote_data_factor: float = 1.0
 
     def __post_init__(self):
         _check_name("service", self.service)
@@ -263,6 +264,7 @@
         _check_integer("agent_queue", self.agent_queue, 0, 10000)
         _check_number("retry_share", self.retry_share, 0, 10)
         _check_integer("subset_size", self.subset_size, 1, 100000)
+        _check_number("remote_data_factor", self.remote_data_factor, 1, 1000)
 
     def document(self):
         """Returns the JSON text, ending in a newline."""
--- a/src/agent/action_runner.cc
+++ b/src/agent/action_runner.cc
@@ -106,8 +106,9 @@
   }
   this->parts.senders.SendMessage<OutcomesReply>(
       action.address, "outcomes", action.message,
-      [this, owner = action.message.owner, tasks = std::move(tasks)](Result<OutcomesReply> reply) {
-        this->parts.thread.PostResult(OutcomesReplied{owner, tasks, std::move(reply)});
+      [this, owner = action.message.owner, tasks = std::move(tasks),
+       sent = action.sent](Result<OutcomesReply> reply) {
+        this->parts.thread.PostResult(OutcomesReplied{owner, tasks, std::move(reply), sent});
       });
 }
 
@@ -115,8 +116,8 @@
   this->parts.metrics.Add("heartbeats_total");
   this->parts.senders.SendMessage<AnnounceReply>(
       action.address, "announce", action.message,
-      [this, address = action.address](Result<AnnounceReply> reply) {
-        this->parts.thread.PostResult(AnnounceReplied{address, std::move(reply)});
+      [this, address = action.address, sent = action.sent](Result<AnnounceReply> reply) {
+        this->parts.thread.PostResult(AnnounceReplied{address, std::move(reply), sent});
       });
 }
 
@@ -124,8 +125,8 @@
   this->parts.metrics.Add("heartbeats_total");
   this->parts.senders.SendMessage<AnnounceReply>(
       action.address, "heartbeat", action.message,
-      [this, address = action.address](Result<AnnounceReply> reply) {
-        this->parts.thread.PostResult(AnnounceReplied{address, std::move(reply)});
+      [this, address = action.address, sent = action.sent](Result<AnnounceReply> reply) {
+        this->parts.thread.PostResult(AnnounceReplied{address, std::move(reply), sent});
       });
 }
 
--- a/src/core/agent/agent_core.cc
+++ b/src/core/agent/agent_core.cc
@@ -69,6 +69,7 @@
   load.queued = static_cast<int>(this->store.Queued());
   load.configuration_version = this->configuration->version;
   load.leaving = this->leaving;
+  load.speed = this->speed.Speed(this->now);
   return load;
 }
 
--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -24,6 +24,7 @@
 #include "core/agent/started_tickets.h"
 #include "core/agent/task_store.h"
 #include "core/messages.h"
+#include "core/policy/run_speed.h"
 #include "core/policy/worker_resources.h"
 #include "core/service_configuration.h"
 
@@ -38,6 +39,8 @@
   /// Address for calls between entries and agents, `IPv4:port`.
   std::string address;
   WorkerCapacity worker;
+  /// See Announce.
+  std::vector<std::string> labels{};
 };
 
 /// State machine of the agent: takes events and returns actions, without I/O of its own. A task is
@@ -160,6 +163,7 @@
   Time next_usage_poll{};
   LeaseRenewer leases;
   RunWatchdog watchdog;
+  RunSpeed speed;
   OutcomeSender outcomes;
   Announcer announcer;
   EndpointMonitor endpoint;
--- a/src/core/agent/agent_core_endpoint.cc
+++ b/src/core/agent/agent_core_endpoint.cc
@@ -66,6 +66,7 @@
 void AgentCore::FinishRunning(const TaskKey& task, Outcome outcome, bool refused) {
   this->leases.Remove(task);
   this->watchdog.Remove(task);
+  this->speed.Ended(task, outcome.ok, this->now);
   this->resources.Release(this->store.Find(task)->declared);
   this->store.Finish(task, std::move(outcome), refused);
   this->QueueOutcome(task);
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -27,7 +27,7 @@
     return;
   }
   const auto& reply = std::get<AnnounceReply>(event.reply);
-  this->watchdog.RecordOwnerContact(reply.entry.incarnation, this->now);
+  this->watchdog.RecordOwnerContact(reply.entry.incarnation, event.sent);
   this->announcer.Answered(event.address, reply, this->now);
   this->FetchConfigurationIfNewer(reply.configuration_version, event.address);
 }
@@ -35,7 +35,8 @@
 void AgentCore::On(const NoticeReceived& event) {
   const AnnounceReply& notice = event.message;
   this->announcer.HandleNotice(notice, this->now);
-  this->watchdog.RecordOwnerContact(notice.entry.incarnation, this->now);
+  // Not a contact of the runs' owner: an entry repeats notices to an agent that it does not hear
+  // and soon gives up, whose runs must end.
   this->announcer.RecordTraffic(notice.entry.address, this->now);
   this->actions.emplace_back(
       ReplyNotice{event.request, this->MakeHeartbeat(notice.entries_digest)});
@@ -61,6 +62,7 @@
   message.address = this->identity.address;
   message.worker = this->identity.worker;
   message.load = this->CurrentLoad();
+  message.labels = this->identity.labels;
   return message;
 }
 
@@ -74,10 +76,10 @@
   }
   for (const Announcer::Due& due : this->announcer.TakeDue(this->now)) {
     if (due.full) {
-      this->actions.emplace_back(SendAnnounce{due.address, this->MakeAnnounce()});
+      this->actions.emplace_back(SendAnnounce{due.address, this->MakeAnnounce(), this->now});
     } else {
       this->actions.emplace_back(
-          SendHeartbeat{due.address, this->MakeHeartbeat(due.entries_digest)});
+          SendHeartbeat{due.address, this->MakeHeartbeat(due.entries_digest), this->now});
     }
   }
 }
--- a/src/core/agent/agent_core_outcomes.cc
+++ b/src/core/agent/agent_core_outcomes.cc
@@ -50,7 +50,7 @@
   const std::string address = this->outcomes.AddressOf(event.owner);
   if (reply.owner == event.owner) {
     this->Release(this->outcomes.Acknowledged(event.owner, event.tasks, this->now));
-    this->watchdog.RecordOwnerContact(event.owner, this->now);
+    this->watchdog.RecordOwnerContact(event.owner, event.sent);
     this->announcer.RecordTraffic(address, this->now);
   } else {
     const std::vector<TaskKey> tasks = this->outcomes.GiveUp(event.owner);
@@ -76,6 +76,7 @@
     send.message.agent = this->identity.incarnation;
     send.message.owner = batch.owner;
     send.message.load = this->CurrentLoad();
+    send.sent = this->now;
     for (const auto& task : batch.tasks) {
       send.message.outcomes.push_back(this->store.Find(task)->outcome);
     }
--- a/src/core/agent/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -8,6 +8,10 @@
 namespace quetzalvale {
 namespace {
 
+/// A start is not passed to the endpoint later than this after its decision. Longer than a busy
+/// process takes, and as long as a start message is accepted after it was made.
+constexpr Milliseconds kStartValidity{250};
+
 /// Number of later tasks that may delay a queued task before its resources are reserved. With run
 /// times of 50 ms to 1 s and eight slots, the reservation takes effect within seconds.
 constexpr int kMaxBypasses = 8;
@@ -109,6 +113,10 @@
   record.deadline = this->now + item.time_left;
   record.repeatable = item.repeatable;
   record.attempt = item.attempt;
+  record.expected = item.expected;
+  if (item.start_within) {
+    record.start_by = this->now + *item.start_within;
+  }
   if (item.repeatable) {
     this->watchdog.Add(item.task, record.deadline);
   }
@@ -220,6 +228,10 @@
   start.lease = record.lease;
   start.attempt = record.attempt;
   start.time_left = std::chrono::duration_cast<Milliseconds>(record.deadline - this->now);
+  if (record.repeatable) {
+    start.start_before = std::min(record.deadline, this->now + kStartValidity);
+  }
+  this->speed.Started(task, record.expected, this->now);
   this->leases.Add(task, record.lease, this->now);
   this->actions.emplace_back(std::move(start));
 }
--- a/src/core/agent/agent_core_withdrawal.cc
+++ b/src/core/agent/agent_core_withdrawal.cc
@@ -11,8 +11,9 @@
   WithdrawReply reply;
   reply.agent = this->identity.incarnation;
   if (this->guards.same_incarnation(this->identity.incarnation, message.agent)) {
+    // Not a contact for the watchdog: an entry repeats withdrawals to an agent that it does not
+    // hear and soon gives up, whose runs must end.
     this->outcomes.HeardFrom(message.owner, std::string(), this->now);
-    this->watchdog.RecordOwnerContact(message.owner, this->now);
     for (const auto& item : message.items) {
       reply.reports.push_back(this->Withdraw(message, item));
     }
@@ -20,7 +21,6 @@
   this->StartQueuedTasks();
   reply.load = this->CurrentLoad();
   this->actions.emplace_back(ReplyWithdraw{event.request, std::move(reply)});
-  this->announcer.RecordTraffic(this->outcomes.AddressOf(message.owner), this->now);
 }
 
 TaskReport AgentCore::Withdraw(const WithdrawRequest& request, const WithdrawItem& item) {
--- a/src/core/agent/agent_events.h
+++ b/src/core/agent/agent_events.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -57,6 +58,9 @@
   Incarnation owner;
   std::vector<TaskKey> tasks;
   Result<OutcomesReply> reply;
+  /// When the outcomes were sent. The reply proves that the owner was alive then; it may have
+  /// waited here for long.
+  Time sent{};
 };
 /// Message from an entry that cannot wait for the next heartbeat. Answered by a ReplyNotice with
 /// the same id.
@@ -68,6 +72,8 @@
 struct AnnounceReplied {
   std::string address;
   Result<AnnounceReply> reply;
+  /// See OutcomesReplied.
+  Time sent{};
 };
 /// The address of an entry became known.
 struct EntryDiscovered {
@@ -108,6 +114,9 @@
   Resources declared{};
   /// Number of this start of the task, from 1.
   std::uint32_t attempt = 1;
+  /// For a repeatable task: the endpoint must not be asked to start it from then on. If this
+  /// process is suspended after its decision, the owner may have given the task up meanwhile.
+  std::optional<Time> start_before{};
 };
 struct StopOnEndpoint {
   TaskKey task;
@@ -128,14 +137,17 @@
 struct SendOutcomes {
   std::string address;
   OutcomesRequest message;
+  Time sent{};
 };
 struct SendAnnounce {
   std::string address;
   Announce message;
+  Time sent{};
 };
 struct SendHeartbeat {
   std::string address;
   Heartbeat message;
+  Time sent{};
 };
 struct ReplyNotice {
   RequestId request = 0;
--- a/src/core/agent/announcer.cc
+++ b/src/core/agent/announcer.cc
@@ -15,6 +15,9 @@
 /// Upper limit of the retry interval, in heartbeat intervals. A silent entry that comes back gets
 /// to know the agent well before it would declare it dead.
 constexpr int kMaxRetryHeartbeats = 4;
+/// Announcements and heartbeats to one entry without a result. A connection that has gone silent
+/// keeps the result of one for as long as a call may take.
+constexpr std::size_t kMaxInFlight = 3;
 /// Far more than the number of entries of a service.
 constexpr std::size_t kMaxEntries = 256;
 
@@ -77,7 +80,8 @@
 
 bool Announcer::IsHeartbeatDue(const std::string& address, const Entry& entry, Time now) const {
   if (!entry.in_flight.empty()) {
-    return false;
+    return entry.in_flight.size() < kMaxInFlight &&
+           now - entry.last_sent >= this->health.heartbeat && this->is_active(address);
   }
   if (entry.failures > 0) {
     return now >= entry.retry_at;
--- a/src/core/agent/run_watchdog.cc
+++ b/src/core/agent/run_watchdog.cc
@@ -11,8 +11,9 @@
 
 }  // namespace
 
-void RunWatchdog::RecordOwnerContact(const Incarnation& owner, Time now) {
-  this->last_heard[owner] = now;
+void RunWatchdog::RecordOwnerContact(const Incarnation& owner, Time time) {
+  Time& heard = this->last_heard[owner];
+  heard = std::max(heard, time);
 }
 
 void RunWatchdog::Add(const TaskKey& task, Time deadline) { this->tasks[task] = {deadline, {}}; }
--- a/src/core/agent/run_watchdog.h
+++ b/src/core/agent/run_watchdog.h
@@ -27,8 +27,9 @@
   /// Interval at which a stop is repeated until the run has ended.
   static constexpr Milliseconds kStopRetryInterval{200};
 
-  /// Records a message from an owner.
-  void RecordOwnerContact(const Incarnation& owner, Time now);
+  /// Records that the owner was alive and heard this agent at `time`. Earlier times than the last
+  /// one have no effect.
+  void RecordOwnerContact(const Incarnation& owner, Time time);
 
   /// Adds a task when it is accepted. Precondition: its owner's contact was recorded.
   void Add(const TaskKey& task, Time deadline);
--- a/src/core/agent/task_store.cc
+++ b/src/core/agent/task_store.cc
@@ -45,7 +45,11 @@
 }
 
 std::vector<TaskKey> TaskStore::QueuedTasks() const {
-  return {this->queue.begin(), this->queue.end()};
+  std::vector<TaskKey> tasks(this->queue.begin(), this->queue.end());
+  std::ranges::stable_sort(tasks, {}, [this](const TaskKey& task) {
+    return this->records.at(task).start_by.value_or(Time::max());
+  });
+  return tasks;
 }
 
 bool TaskStore::HasUnfinished(const Incarnation& owner) const {
--- a/src/core/agent/task_store.h
+++ b/src/core/agent/task_store.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,6 +37,9 @@
   /// See StartItem.
   bool repeatable = false;
   std::uint32_t attempt = 1;
+  Microseconds expected{0};
+  /// See StartItem::start_within; on this process's clock.
+  std::optional<Time> start_by{};
   /// The task was sent to the endpoint, so it may have run.
   bool dispatched = false;
   /// The endpoint proved that it did not start the task.
@@ -83,7 +87,8 @@
   /// Tasks of the ticket that have a record, ordered by index.
   std::vector<TaskKey> TasksOf(const Ticket& ticket) const;
 
-  /// In the order in which they were added.
+  /// In the order in which they are to be started: by start_by, and tasks without one behind those
+  /// that have it, in the order in which they were added.
   std::vector<TaskKey> QueuedTasks() const;
 
   /// Counts another later task that was dispatched first and delays this one. Precondition: it is
--- a/src/core/entry/agent_directory.cc
+++ b/src/core/entry/agent_directory.cc
@@ -56,6 +56,10 @@
   this->declared -= other.declared;
 }
 
+bool Agent::HasLabel(std::string_view label) const {
+  return std::ranges::find(this->announce.labels, label) != this->announce.labels.end();
+}
+
 Microseconds Agent::MeanExpectedRunTime(Microseconds otherwise) const {
   if (this->outstanding.empty()) {
     return otherwise;
--- a/src/core/entry/agent_directory.h
+++ b/src/core/entry/agent_directory.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/entry/job_table.h"
@@ -61,6 +62,11 @@
   std::optional<Time> reply_awaited_since;
   /// When the agent last went from holding no tasks of this entry to holding some.
   Time active_since{};
+  /// When a start was last sent to the agent. The agent may have heard it although none of its
+  /// replies arrive, and then continues the runs of this entry.
+  Time last_start_sent{};
+  /// Earliest time at which tasks are again considered for moving away from the agent.
+  Time next_move_check{};
   /// Roster number at which the agent became a member; zero if it never was one.
   std::uint64_t first_roster = 0;
   std::uint64_t next_channel_sequence = 1;
@@ -76,6 +82,7 @@
   UnreportedLoad unreported;
   WithdrawQueue withdrawals;
 
+  bool HasLabel(std::string_view label) const;
   /// Mean expected run time of the outstanding tasks, or `otherwise` if there are none.
   Microseconds MeanExpectedRunTime(Microseconds otherwise) const;
   /// Reported free slots less the tasks placed since; never negative.
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -92,6 +92,8 @@
     /// The stale report shows no free slot; one is assumed, so that one task tests the agent.
     bool assumes_free_slot = false;
     Resources free;
+    /// Share of all usable agents' cores that is free.
+    double mean_free_share = 0;
   };
 
   /// Agents that can take a given task, as indices into the list of usable agents.
@@ -103,6 +105,8 @@
     std::vector<std::size_t> short_of_resources;
     /// Index of an agent whose ejected endpoint the task may probe.
     std::optional<std::size_t> probe;
+    /// Some candidate is near the data of the task.
+    bool any_near_data = false;
     bool any_free = false;
   };
 
@@ -237,6 +241,24 @@
   bool HasPossibleAgent(const Job& job) const;
   void CountAnswer(const Answer& answer);
 
+  // Speed and place of runs (entry_core_speed.cc).
+  /// Present speed of the agent's worker: what the agent reports, which is seen from the runs of
+  /// all entries, or what this entry has learned while the agent reports nothing.
+  static double SpeedOf(const ServiceState& service, const Agent& agent);
+  /// Multiple of the run time on this agent because the data of the job's tasks is on another rack.
+  static double RunFactor(const ServiceState& service, std::string_view data_rack,
+                          const Agent& agent);
+  /// See StartItem::start_within.
+  std::optional<Milliseconds> StartWithin(const ServiceState& service, const Job& job,
+                                          const Task& task, const Agent& agent) const;
+  /// Whether an agent in service is near the data of the job's tasks.
+  bool IsDataServed(const ServiceState& service, const Job& job) const;
+  /// Stops tasks on an agent that has become slow, if they can finish in time elsewhere. They are
+  /// placed again when their end is confirmed.
+  void MoveTasksIfSlow(Agent& agent);
+  bool IsWorthMoving(const ServiceState& service, const Job& job, const Task& task,
+                     const Agent& agent) const;
+
   // Starts (entry_core_starts.cc).
   static void QueueTask(ServiceState& service, const Job& job, std::uint32_t index);
   void PlaceTasks(ServiceState& service);
@@ -291,6 +313,8 @@
   void Withdraw(const TaskRef& task, bool stop_running);
   void ApplyOutcome(const Incarnation& agent, const Outcome& outcome);
   void ApplyReport(const WithdrawReplied& event, const TaskReport& report);
+  /// Records the load that an agent reported, and acts on a change of its speed.
+  void RecordLoad(const Incarnation& incarnation, const AgentLoad& load);
   /// Returns the task if the start with this agent and sequence is its current one and not settled,
   /// nullptr otherwise.
   Task* FindSentTask(const TaskRef& ref, const Incarnation& agent, std::uint64_t sequence);
--- a/src/core/entry/entry_core_agents.cc
+++ b/src/core/entry/entry_core_agents.cc
@@ -42,7 +42,7 @@
     this->Emit(ReplyAnnounce{event.request, std::move(reply)});
     return;
   }
-  this->directory.RecordReport(heartbeat.agent, &heartbeat.load, this->now);
+  this->RecordLoad(heartbeat.agent, heartbeat.load);
   this->Emit(ReplyAnnounce{
       event.request, this->MakeAnnounceReply(this->FindService(agent->announce.service), agent,
                                              heartbeat.entries_digest)});
@@ -94,7 +94,12 @@
     const auto& health = service->configuration->health;
     const auto silent = this->SilenceDuration(agent);
     const bool has_left = agent.leaving && agent.outstanding.empty() && silent >= health.agent_lost;
-    const bool is_dead = silent >= this->ScaleThreshold(agent, health.agent_dead);
+    // An agent that hears this entry's starts continues its runs even if none of its messages
+    // arrive here. Without a new start it ends them well within agent_dead.
+    const bool may_be_running =
+        !agent.outstanding.empty() && this->now - agent.last_start_sent < health.agent_dead;
+    const bool is_dead =
+        silent >= this->ScaleThreshold(agent, health.agent_dead) && !may_be_running;
     if (this->now >= this->grace_until && (is_dead || has_left)) {
       gone.push_back(incarnation);
     }
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -187,6 +187,10 @@
                      " deadline_left_ms=" + millis(job.deadline - this->now) +
                      " refused_starts=" + std::to_string(refusals) +
                      " failed_runs=" + std::to_string(failures);
+  if (!job.data_rack.empty()) {
+    line += " data_rack=" + job.data_rack +
+            " remote_last=" + (last != nullptr && last->run_factor > 1 ? "true" : "false");
+  }
   if (last != nullptr) {
     const Agent* agent = this->directory.Find(last->agent);
     line += " last_task=" + std::to_string(last - job.tasks.data()) +
--- a/src/core/entry/entry_core_load.cc
+++ b/src/core/entry/entry_core_load.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <optional>
 #include <string>
 
 #include "core/entry/entry_core.h"
@@ -13,6 +14,19 @@
 /// requests.
 constexpr Milliseconds kMaxDeadline = std::chrono::hours(24);
 
+/// Run times vary: a job is given up only if even a short run would end too late.
+constexpr double kShortRunFactor = 0.75;
+
+/// Time for messages before and after a run.
+constexpr Milliseconds kMessagingTime{12};
+
+/// Whether a run of `factor` times the expected time ends within `time_left`.
+bool EndsBy(Time::duration time_left, Microseconds expected, double factor) {
+  const std::chrono::duration<double, std::micro> run(static_cast<double>(expected.count()) *
+                                                      factor);
+  return run + kMessagingTime <= time_left;
+}
+
 }  // namespace
 
 LoadView EntryCore::ComputeLoad(const ServiceState& service, const Submission& submission) const {
@@ -24,6 +38,17 @@
   load.urgent_slots = service.arrivals.SlotsAhead(urgency, this->now);
   const Resources typical =
       submission.tasks.empty() ? Resources{1} : DeclaredBy(submission.tasks.front());
+  std::optional<AnswerTarget> target;
+  Microseconds longest{0};
+  if (kind != nullptr && kind->target_stretch > 0) {
+    const Time submitted = std::min(this->now, submission.received.value_or(this->now));
+    longest = LongestExpectedRun(service, submission);
+    target =
+        TargetOf(*kind, longest, submitted, submitted + EffectiveDeadline(service, submission));
+  }
+  bool any_near_data = false;
+  bool reachable = false;
+  double remote_free_runs = 0;
   for (const auto& [incarnation, agent] : this->directory.Agents()) {
     const bool usable = agent.member && !agent.leaving && agent.announce.service == service.name &&
                         agent.first_roster <= submission.ticket->roster;
@@ -36,15 +61,29 @@
     }
     capacity.own_runs += static_cast<double>(agent.outstanding.size());
     if (!service.health.IsAvailable(agent.announce.name)) {
+      // A job has to be taken for the probe that brings the endpoint back.
+      reachable = true;
       continue;
     }
     const int slots = ParallelRuns(CapacityOf(agent.announce.worker), typical);
     const int free =
         ParallelRuns(ReportedFree(agent.announce.worker, agent.announce.load), typical);
-    capacity.free_runs += ParallelRuns(agent.FreeResources(), typical);
+    const double speed = SpeedOf(service, agent);
+    const double run_factor = RunFactor(service, submission.data_rack, agent);
+    const double free_runs = ParallelRuns(agent.FreeResources(), typical);
+    // Room on an endpoint that would answer too late is no room for this job.
+    reachable = reachable || (target && EndsBy(target->useful_until - this->now, longest,
+                                               kShortRunFactor * run_factor / speed));
+    if (!target || EndsBy(target->on_time - this->now, longest, run_factor / speed)) {
+      any_near_data = any_near_data || run_factor <= 1;
+      (run_factor <= 1 ? capacity.free_runs : remote_free_runs) += free_runs;
+    }
     const int own = static_cast<int>(agent.outstanding.size());
     const int others = std::clamp(slots - free - own, 0, slots);
-    load.effective_slots += (slots - others) * service.model.Speed(agent.announce.name);
+    load.effective_slots += (slots - others) * speed / run_factor;
+  }
+  if (!any_near_data) {
+    capacity.free_runs = remote_free_runs;
   }
   StartQueue::ProspectiveJob job;
   job.urgency = urgency;
@@ -58,13 +97,11 @@
   }
   job.overtakes_at =
       StartQueue::OvertakesAt(this->now, this->now + EffectiveDeadline(service, submission));
-  if (kind != nullptr && kind->target_stretch > 0) {
-    const Microseconds longest = LongestExpectedRun(service, submission);
-    const AnswerTarget target =
-        TargetOf(*kind, longest, this->now, this->now + EffectiveDeadline(service, submission));
-    job.overtakes_at = StartQueue::OvertakesAt(this->now, ScheduleOf(target, longest));
-    load.target = LoadView::Target{
-        std::chrono::duration_cast<Microseconds>(target.on_time - this->now), longest, capacity};
+  if (target) {
+    job.overtakes_at = StartQueue::OvertakesAt(this->now, ScheduleOf(*target, longest));
+    load.target =
+        LoadView::Target{std::chrono::duration_cast<Microseconds>(target->on_time - this->now),
+                         longest, capacity, reachable};
   }
   load.overtakes_after = std::chrono::duration_cast<Microseconds>(job.overtakes_at - this->now);
   job.completed_before_overtaking = Microseconds(
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -1,5 +1,6 @@
 // Settlement of starts: each is settled by its reply, an outcome or a withdrawal.
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -78,7 +79,7 @@
     this->RemoveAgent(agent, true);
     return;
   }
-  this->directory.RecordReport(agent, &reply.load, this->now);
+  this->RecordLoad(agent, reply.load);
   for (const Outcome& outcome : reply.outcomes) {
     this->ApplyOutcome(agent, outcome);
   }
@@ -165,9 +166,7 @@
   if (reason.empty() || IsInterruption(reason)) {
     return true;
   }
-  const ServiceState& service = *this->FindService(job.ticket.service);
-  const auto* kind = service.configuration->FindKind(job.kind);
-  return kind != nullptr && task.failures < kind->attempts;
+  return task.failures < job.attempts;
 }
 
 void EntryCore::QueueRerun(Job& job, std::uint32_t index) {
@@ -229,7 +228,7 @@
     this->RemoveAgent(event.agent, true);
     return;
   }
-  this->directory.RecordReport(event.agent, &reply->load, this->now);
+  this->RecordLoad(event.agent, reply->load);
   std::vector<TaskRef> asked;
   for (const WithdrawItem& item : event.items) {
     if (const Job* job = this->jobs.Find(item.task.ticket)) {
@@ -277,10 +276,10 @@
   if (event.message.owner != this->self.incarnation) {
     return;
   }
-  this->directory.RecordReport(event.message.agent, &event.message.load, this->now);
   for (const Outcome& outcome : event.message.outcomes) {
     this->ApplyOutcome(event.message.agent, outcome);
   }
+  this->RecordLoad(event.message.agent, event.message.load);
 }
 
 void EntryCore::ApplyOutcome(const Incarnation& incarnation, const Outcome& outcome) {
@@ -317,9 +316,10 @@
       this->Log(1003, "agent_ejected", "agent=" + name);
     }
     if (outcome.ok) {
-      service.model.Observe(job->kind, name,
-                            std::chrono::duration_cast<Microseconds>(task.spec.declared_run_time),
-                            outcome.run_time);
+      service.model.Observe(
+          job->kind, name, std::chrono::duration_cast<Microseconds>(task.spec.declared_run_time),
+          Microseconds(
+              std::llround(static_cast<double>(outcome.run_time.count()) / task.run_factor)));
     }
   }
   if (outcome.ok) {
@@ -339,9 +339,17 @@
     return;
   }
   this->EndTask(*job, index, JobTaskState::kFailed);
-  const bool unknown = outcome.reason == "outcome_unknown";
-  this->FailJob(*job, unknown ? "outcome_unknown" : "task_failed",
-                "task " + std::to_string(index) + " failed: " + outcome.reason, false);
+  const std::string problem = "task " + std::to_string(index) + " failed: " + outcome.reason;
+  if (outcome.reason == kOutcomeUnknown) {
+    this->FailJob(*job, "outcome_unknown", problem, false);
+  } else if (!job->IsRepeatable()) {
+    this->FailJob(*job, "task_failed", problem, false);
+  } else if (task.failures >= job->attempts) {
+    // The other tasks of the job are of no use any more.
+    this->FailJob(*job, "task_failed", problem, true);
+  } else {
+    this->FailJob(*job, "deadline", problem + "; no time is left for another attempt", true);
+  }
 }
 
 }  // namespace quetzalvale
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -1,5 +1,6 @@
 // Placement of waiting tasks on agents, and start messages.
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <string>
 #include <utility>
@@ -22,6 +23,15 @@
 /// costs only a lookup.
 constexpr std::uint32_t kMaxSkipped = 4096;
 
+/// A placement round ends after this many tasks with a target that could not be placed. Each costs
+/// a look at every agent, and in a burst hundreds of tasks wait.
+constexpr std::uint32_t kMaxUnplacedTargets = 24;
+
+/// After a round that left at least so many of them waiting, the next round comes after the
+/// interval: a round for each message would use up the processor time of a small entry in a burst.
+constexpr std::uint32_t kManyUnplaced = 6;
+constexpr Milliseconds kCrowdedPlacementInterval{4};
+
 /// While the retry budget is empty, one retry is allowed per this interval, so that a job whose
 /// tasks were refused does not depend on other jobs to refill the budget.
 constexpr Milliseconds kUnbudgetedRetryInterval{200};
@@ -40,6 +50,18 @@
 /// Longer than the gaps between such tasks where they are a small part of the traffic.
 constexpr std::chrono::seconds kFastCapacityReservation{2};
 
+/// In this time, the entries together fill or empty a worker by about half of the difference to the
+/// others.
+constexpr Milliseconds kFreeShareHalfLife{60};
+
+/// Estimates the present free share of a worker from a report of this age. Other entries have read
+/// the same report and sent their tasks too: the older it is, the less it says, and the more likely
+/// the worker is as full as the others.
+double PresentFreeShare(double reported, double mean, Time::duration age) {
+  const double half_lives = std::chrono::duration<double>(age) / kFreeShareHalfLife;
+  return mean + (reported - mean) * std::exp2(-std::max(0.0, half_lives));
+}
+
 bool Contains(const std::vector<Incarnation>& agents, const Incarnation& agent) {
   return std::ranges::find(agents, agent) != agents.end();
 }
@@ -100,7 +122,7 @@
     candidate.free_slots = 1;
     candidate.queued = 0;
   }
-  candidate.speed = service.model.Speed(name);
+  candidate.speed = SpeedOf(service, agent);
   candidate.same_data_centre = agent.announce.data_centre == this->self.data_centre;
   return true;
 }
@@ -141,6 +163,15 @@
       usable.push_back(entry);
     }
   }
+  double free = 0;
+  double capacity = 0;
+  for (const UsableAgent& entry : usable) {
+    capacity += static_cast<double>(CapacityOf(entry.agent->announce.worker).millicores);
+    free += static_cast<double>(std::max<std::int64_t>(0, entry.free.millicores));
+  }
+  for (UsableAgent& entry : usable) {
+    entry.mean_free_share = capacity > 0 ? std::min(1.0, free / capacity) : 0;
+  }
   return usable;
 }
 
@@ -154,7 +185,7 @@
 }
 
 void EntryCore::PlaceTasks(ServiceState& service) {
-  if (service.queue.Size() == 0) {
+  if (service.queue.Size() == 0 || this->now < service.next_placement) {
     return;
   }
   this->FailLateJobs(service);
@@ -162,6 +193,7 @@
   std::uint32_t declined = 0;
   std::uint32_t blocked = 0;
   std::uint32_t skipped = 0;
+  std::uint32_t unplaced_targets = 0;
   std::optional<TaskClass> unplaceable_class;
   service.queue.Advance(this->now);
   StartQueue::Walk walk(service.queue);
@@ -189,6 +221,15 @@
         placed == PlacementResult::kRetryBudgetEmpty || placed == PlacementResult::kNoUsableAgent
             ? 1
             : 0;
+    if (placed != PlacementResult::kPlaced && job.target) {
+      ++unplaced_targets;
+      if (unplaced_targets == kManyUnplaced) {
+        service.next_placement = this->now + kCrowdedPlacementInterval;
+      }
+      if (unplaced_targets >= kMaxUnplacedTargets) {
+        return;
+      }
+    }
     const bool any_free = std::ranges::any_of(usable, [](const UsableAgent& entry) {
       return entry.probe || entry.candidate.free_slots > 0;
     });
@@ -220,9 +261,12 @@
     }
     Candidate candidate = usable[i].candidate;
     candidate.slots = ParallelRuns(CapacityOf(agent.announce.worker), declared);
-    candidate.free_share =
-        static_cast<double>(ParallelRuns(usable[i].free, declared)) / std::max(1, candidate.slots);
+    candidate.free_share = PresentFreeShare(
+        static_cast<double>(ParallelRuns(usable[i].free, declared)) / std::max(1, candidate.slots),
+        usable[i].mean_free_share, this->now - agent.load_reported_at);
     candidate.has_pending_message = this->batcher.HasBatch(agent.announce.agent);
+    candidate.run_factor = RunFactor(service, job.data_rack, agent);
+    options.any_near_data = options.any_near_data || candidate.run_factor <= 1;
     const bool full = candidate.queued >= queue;
     const bool fits = usable[i].assumes_free_slot || (usable[i].report_stale && full) ||
                       usable[i].free.Covers(declared);
@@ -268,6 +312,7 @@
       service.fast_slots_reserved_until = this->now + kFastCapacityReservation;
     }
     query.reserve_fast_endpoints = this->now < service.fast_slots_reserved_until;
+    query.may_wait_near_data = options.any_near_data || this->IsDataServed(service, job);
   }
   const PlacementHook& hook =
       this->placement_override ? this->placement_override : service.placement;
@@ -305,6 +350,7 @@
   this->Assign(service, job, index, usable[*chosen]);
   UsableAgent updated;
   if (this->EvaluateAgent(service, *usable[*chosen].agent, updated)) {
+    updated.mean_free_share = usable[*chosen].mean_free_share;
     usable[*chosen] = updated;
   } else {
     usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(*chosen));
@@ -346,7 +392,9 @@
   if (agent.outstanding.empty()) {
     agent.active_since = this->now;
   }
-  agent.outstanding[ref] = task.expected;
+  task.run_factor = RunFactor(service, job.data_rack, agent);
+  agent.outstanding[ref] =
+      Microseconds(std::llround(static_cast<double>(task.expected.count()) * task.run_factor));
   const Resources declared = DeclaredBy(task.spec);
   task.joins_queue = agent.FreeSlots() > 0 && !agent.FreeResources().Covers(declared);
   agent.unreported.Add(declared, task.joins_queue);
@@ -382,8 +430,14 @@
       this->DropTask(job, ref.index);
       continue;
     }
-    request.items.push_back(
-        {{job.ticket, ref.index}, job.kind, task.spec, left, job.IsRepeatable(), ++task.starts});
+    request.items.push_back({{job.ticket, ref.index},
+                             job.kind,
+                             task.spec,
+                             left,
+                             job.IsRepeatable(),
+                             ++task.starts,
+                             agent.outstanding.at(ref),
+                             this->StartWithin(service, job, task, agent)});
     start.tasks.push_back(ref);
     start.sent.Add(DeclaredBy(task.spec), task.joins_queue);
   }
@@ -404,6 +458,7 @@
   }
   this->counters.tasks_started += start.tasks.size();
   start.sent_at = this->now;
+  agent.last_start_sent = this->now;
   agent.starts[request.channel_sequence] = std::move(start);
   this->Emit(SendStart{agent.announce.address, std::move(request)});
 }
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -231,6 +231,11 @@
   if (this->IsLeaving()) {
     return Refusal{ErrorKind::kLeaving, "this entry is leaving; submit through another one"};
   }
+  if (submission.received &&
+      this->now >= *submission.received + EffectiveDeadline(service, submission)) {
+    return Refusal{ErrorKind::kDeadlineUnreachable,
+                   "the job's deadline passed before the entry could process it; submit it again"};
+  }
   const LoadView load = this->ComputeLoad(service, submission);
   const bool any_agent = std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
     const Agent& agent = element.second;
@@ -270,14 +275,16 @@
   fresh.name = submission.name;
   fresh.body_hash = submission.body_hash;
   fresh.kind = submission.kind;
-  fresh.urgency = service.configuration->FindKind(submission.kind)->urgency;
-  fresh.team = service.AccountingTeam(submission.team);
-  fresh.submitted = this->now;
-  fresh.deadline = this->now + EffectiveDeadline(service, submission);
   const auto* kind = service.configuration->FindKind(submission.kind);
+  fresh.urgency = kind->urgency;
+  fresh.attempts = kind->attempts;
+  fresh.data_rack = submission.data_rack;
+  fresh.team = service.AccountingTeam(submission.team);
+  fresh.submitted = std::min(this->now, submission.received.value_or(this->now));
+  fresh.deadline = fresh.submitted + EffectiveDeadline(service, submission);
   if (fresh.IsRepeatable() && kind->target_stretch > 0) {
     fresh.target =
-        TargetOf(*kind, LongestExpectedRun(service, submission), this->now, fresh.deadline);
+        TargetOf(*kind, LongestExpectedRun(service, submission), fresh.submitted, fresh.deadline);
   }
   for (const TaskSpec& spec : submission.tasks) {
     Task task;
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -67,7 +67,12 @@
   std::uint32_t failures = 0;
   /// Agents on which a run failed or was lost; avoided while another agent is available.
   std::vector<Incarnation> failed_on;
+  /// Expected run time near the task's data at speed 1.
   Microseconds expected{0};
+  /// Multiple of it on the agent of the last start, because the data is on another rack.
+  double run_factor = 1;
+  /// The task was moved away from an endpoint that had become slow.
+  bool moved = false;
   /// Times of the last start: when it was sent, when its outcome arrived, and how long the run
   /// took.
   Time sent_at{};
@@ -101,6 +106,11 @@
   std::string kind;
   std::string team;
   int urgency = 0;
+  /// A repeatable job fails after this many failed runs of one of its tasks, even if its kind is no
+  /// longer configured by then.
+  std::uint32_t attempts = 1;
+  /// See Submission.
+  std::string data_rack{};
   Time submitted{};
   Time deadline{};
   /// Set for repeatable jobs only; the answer of other jobs is useful until the deadline.
--- a/src/core/entry/service_state.h
+++ b/src/core/entry/service_state.h
@@ -39,6 +39,8 @@
   PlacementHook placement;
   /// Until then, capacity of fast endpoints is reserved for tasks that need it.
   Time fast_slots_reserved_until{};
+  /// No tasks are placed before this time, because many could not be placed in the last round.
+  Time next_placement{};
   /// While the retry budget is empty, one placement may be retried at this time.
   Time next_unbudgeted_retry{};
   /// Agents of the service were added, removed or changed since the members were last chosen.
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -52,6 +52,9 @@
   int queued = 0;
   std::uint64_t configuration_version = 0;
   bool leaving = false;
+  /// Present speed of the worker relative to the expected run times of its tasks, seen from the
+  /// runs of all entries; zero while unknown.
+  double speed = 0;
 };
 
 // ---- Starts -------------------------------------------------------------------------------
@@ -67,6 +70,12 @@
   bool repeatable = false;
   /// Number of the attempt to start this task, from 1.
   std::uint32_t attempt = 1;
+  /// Run time that the owner expects of the task on an endpoint of speed 1; zero if unknown.
+  Microseconds expected{0};
+  /// Time from the sending of the message within which the task should start for its answer to be
+  /// on time; may be negative. Among waiting tasks, the one with the least is started first. Unset
+  /// for tasks without a target, which keep their order.
+  std::optional<Milliseconds> start_within{};
 };
 
 /// Asks one agent incarnation to start tasks. The agent accepts each channel sequence at most once.
@@ -187,6 +196,8 @@
   std::string address;
   WorkerCapacity worker;
   AgentLoad load;
+  /// Properties of the worker's machine, such as the name of its rack.
+  std::vector<std::string> labels{};
 };
 
 struct EntryInfo {
@@ -284,6 +295,12 @@
   std::vector<TaskSpec> tasks;
   /// Hash of everything except the ticket; distinguishes a resubmission from a conflicting job.
   std::uint64_t body_hash = 0;
+  /// Rack that holds the data of the tasks; empty if they run equally well everywhere. Tasks on
+  /// endpoints without this label take ServiceConfiguration::remote_data_factor times as long.
+  std::string data_rack{};
+  /// When the entry read the job from its caller; the deadline counts from then. Without it, the
+  /// deadline counts from the time at which the job is processed. Not sent to other entries.
+  std::optional<Time> received{};
 };
 
 enum class AnswerStatus { kComplete, kFailed, kRefused };
--- a/src/core/policy/admission.cc
+++ b/src/core/policy/admission.cc
@@ -137,6 +137,12 @@
 }
 
 std::optional<Error> CheckTarget(const LoadView::Target& target, const Submission& submission) {
+  if (!target.reachable) {
+    return MakeError(ErrorKind::kDeadlineUnreachable,
+                     "no endpoint would finish the longest task, expected to take " +
+                         std::to_string(target.longest.count() / 1000) +
+                         " ms, in time at its present speed; submit again later");
+  }
   const Microseconds wait = ExpectedWait(target.capacity, submission.tasks.size());
   if (IsWaitAcceptable(wait, target.time, target.longest)) {
     return std::nullopt;
--- a/src/core/policy/admission.h
+++ b/src/core/policy/admission.h
@@ -33,6 +33,8 @@
     Microseconds time{0};
     Microseconds longest{0};
     CapacityView capacity;
+    /// Some endpoint could end the longest task while its answer is of use.
+    bool reachable = true;
   };
   std::optional<Target> target;
   bool has_agents = false;
--- a/src/core/policy/offload_policy.cc
+++ b/src/core/policy/offload_policy.cc
@@ -25,12 +25,17 @@
 
 /// Time for which a peer that refused a job gets no more.
 constexpr Milliseconds kRefusalPause{500};
+/// The longest time for which a peer that does not respond gets no jobs.
+constexpr Milliseconds kMaxFailurePause{16000};
 
 }  // namespace
 
 void OffloadPolicy::SetPeers(std::vector<Peer> new_peers) {
   std::erase_if(new_peers, [this](const Peer& peer) { return peer.cores < this->cores; });
   this->peers = std::move(new_peers);
+  std::erase_if(this->pauses, [this](const auto& item) {
+    return std::ranges::find(this->peers, item.first, &Peer::address) == this->peers.end();
+  });
 }
 
 void OffloadPolicy::NoteLag(Time::duration lag, Time now) {
@@ -50,14 +55,13 @@
   if (this->fraction <= 0 || unit(random) >= this->fraction) {
     return std::nullopt;
   }
-  std::erase_if(this->paused_until, [now](const auto& item) { return item.second <= now; });
   double total = 0;
   for (const Peer& peer : this->peers) {
-    total += this->paused_until.contains(peer.address) ? 0 : peer.cores;
+    total += this->IsPaused(peer.address, now) ? 0 : peer.cores;
   }
   double drawn = unit(random) * total;
   for (const Peer& peer : this->peers) {
-    if (this->paused_until.contains(peer.address)) {
+    if (this->IsPaused(peer.address, now)) {
       continue;
     }
     drawn -= peer.cores;
@@ -69,7 +73,19 @@
 }
 
 void OffloadPolicy::NoteRefusal(const std::string& address, Time now) {
-  this->paused_until[address] = now + kRefusalPause;
+  Pause& pause = this->pauses[address];
+  pause.until = std::max(pause.until, now + kRefusalPause);
+}
+
+void OffloadPolicy::NoteFailure(const std::string& address, Time now) {
+  Pause& pause = this->pauses[address];
+  pause.after_failure = std::clamp(pause.after_failure * 2, kRefusalPause, kMaxFailurePause);
+  pause.until = std::max(pause.until, now + pause.after_failure);
+}
+
+bool OffloadPolicy::IsPaused(const std::string& address, Time now) const {
+  const auto found = this->pauses.find(address);
+  return found != this->pauses.end() && now < found->second.until;
 }
 
 }  // namespace quetzalvale
--- a/src/core/policy/offload_policy.h
+++ b/src/core/policy/offload_policy.h
@@ -38,14 +38,29 @@
   /// Records that the peer refused a job; it gets no jobs for a while.
   void NoteRefusal(const std::string& address, Time now);
 
+  /// Records that the peer did not respond. It gets no jobs for a time that doubles with each
+  /// failure in a row, because the peer may be gone for good.
+  void NoteFailure(const std::string& address, Time now);
+
+  /// Records that the peer took a job and answered it.
+  void NoteServed(const std::string& address) { this->pauses.erase(address); }
+
   /// Fraction of the jobs that is offloaded, 0 to 1.
   double Fraction() const { return this->fraction; }
 
  private:
   double cores;
   std::vector<Peer> peers;
-  /// End of the pause of each peer that refused a job.
-  std::map<std::string, Time> paused_until;
+  struct Pause {
+    Time until{};
+    /// Length of the last pause after a failure.
+    Milliseconds after_failure{0};
+  };
+
+  bool IsPaused(const std::string& address, Time now) const;
+
+  /// Peers that refused a job or did not respond.
+  std::map<std::string, Pause> pauses;
   double fraction = 0;
   Time adjusted_at{};
 };
--- a/src/core/policy/placement.cc
+++ b/src/core/policy/placement.cc
@@ -28,6 +28,17 @@
 /// large jobs on slow endpoints; 0.6 gave 2.1 to 2.7; 0.75 gave 3.0 and left single tasks waiting.
 constexpr double kMaxBusyFinishRatio = 0.6;
 
+/// Endpoints whose expected finishes differ by less than this are equally good for a task with a
+/// target. All entries see the same speeds, and their tasks would collide on the best endpoint.
+constexpr double kTargetFinishTolerance = 0.08;
+
+/// Fast endpoints and short runs take about this share of the expected run time.
+constexpr double kShortRunFactor = 0.75;
+
+/// An endpoint with less than this share of the median speed has a fault and is not taken for the
+/// slow kind of the fleet. Kinds of endpoints differ by about a factor of two.
+constexpr double kFaultySpeedShare = 0.33;
+
 /// Time for messages and hand-over before and after a run.
 constexpr double kMessagingOverheadUs = 12000;
 
@@ -57,7 +68,8 @@
 }
 
 double RunUs(const Candidate& candidate, const PlacementQuery& query) {
-  return static_cast<double>(query.expected.count()) / std::max(candidate.speed, 1e-3);
+  return static_cast<double>(query.expected.count()) * candidate.run_factor /
+         std::max(candidate.speed, 1e-3);
 }
 
 double FinishUs(const Candidate& candidate, const PlacementQuery& query) {
@@ -128,8 +140,22 @@
          MeetsDeadline(candidate, query, kP90RunFactor);
 }
 
+/// Speed of the slowest kind of endpoint. Endpoints that have become slow by a fault do not count;
+/// otherwise all others would be reserved as fast ones. Precondition: there are candidates.
 double SlowestSpeed(std::span<const Candidate> candidates) {
-  return std::ranges::min(candidates, {}, &Candidate::speed).speed;
+  std::vector<double> speeds;
+  speeds.reserve(candidates.size());
+  for (const Candidate& candidate : candidates) {
+    speeds.push_back(candidate.speed);
+  }
+  const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+  std::ranges::nth_element(speeds, middle);
+  const double limit = *middle * kFaultySpeedShare;
+  double slowest = *middle;
+  for (const double speed : speeds) {
+    slowest = speed >= limit ? std::min(slowest, speed) : slowest;
+  }
+  return slowest;
 }
 
 /// Whether the remaining free capacity of a fast endpoint is reserved for other tasks.
@@ -143,6 +169,8 @@
 struct Preference {
   /// The task would be late there, or the free capacity is reserved for other tasks.
   bool late = false;
+  /// The task's data is elsewhere, and it could wait for an endpoint near the data.
+  bool remote = false;
   bool busy = false;
   /// A very long run would miss the deadline.
   bool risky = false;
@@ -157,16 +185,18 @@
 
 Preference PreferenceFor(const Candidate& candidate, const PlacementQuery& query, double slowest) {
   const double finish_us = FinishUs(candidate, query);
-  if (!EndsOnTime(candidate, query)) {
-    return {true, candidate.full, false, false, finish_us};
+  const bool remote = candidate.run_factor > 1 && query.may_wait_near_data;
+  // A remote run takes several times the capacity, which only an idle endpoint has to spare.
+  if (!EndsOnTime(candidate, query) || (remote && !HasAmpleCapacity(candidate))) {
+    return {true, remote, candidate.full, false, false, finish_us};
   }
   if (IsReservedForOthers(candidate, query, slowest)) {
-    return {true, true, false, false, finish_us};
+    return {true, remote, true, false, false, finish_us};
   }
   const bool busy = candidate.free_slots <= 0;
   const bool risky = !MeetsDeadline(candidate, query, kP95RunFactor);
   const bool scarce = !busy && !HasAmpleCapacity(candidate);
-  return {false, busy, risky, scarce, scarce ? -finish_us : finish_us};
+  return {false, remote, busy, risky, scarce, scarce ? -finish_us : finish_us};
 }
 
 /// Returns by how much the expected finish is worse than the best, relative to the best; infinity
@@ -181,12 +211,14 @@
 /// Handles fleets in which only few endpoints are fast enough for the longest tasks. A task goes to
 /// the slowest endpoint that still finishes it on time, so that the fast ones stay free for the
 /// tasks that need them. If no endpoint finishes it on time, it goes to the one with the earliest
-/// finish. While other tasks need the fast endpoints to meet their deadlines, some capacity there
-/// is kept free of tasks that would merely be late elsewhere. The choice among roughly equal
-/// endpoints is random, because a fixed choice would make entries collide there. The tasks of a job
-/// share the endpoint of the job's first task while it is about as good as the best, because
-/// messages are the largest part of a job's cost to an entry; they don't share a much faster
-/// endpoint, which would take capacity that the longest tasks need.
+/// finish, unless even a short run would miss the deadline there. A task runs near its data while
+/// it can wait for that. While other tasks need the fast endpoints to meet their deadlines, some
+/// capacity there is kept free of tasks that would merely be late elsewhere. The choice among
+/// roughly equal endpoints is random, weighted by their free capacity, because a fixed choice would
+/// make entries collide there. The tasks of a job share the endpoint of the job's first task while
+/// it is about as good as the best, because messages are the largest part of a job's cost to an
+/// entry; they don't share a much faster endpoint, which would take capacity that the longest tasks
+/// need.
 Choice SlowestOnTime(std::span<const Candidate> candidates, const PlacementQuery& query,
                      Random& random) {
   if (candidates.empty()) {
@@ -200,21 +232,24 @@
   }
   const Preference& best = *std::ranges::min_element(preferences);
   Choice chosen;
-  std::size_t equal = 0;
+  double total_weight = 0;
   bool found_joinable = false;
+  std::uniform_real_distribution<double> unit(0, 1);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const double difference = FinishDifference(best, preferences[i]);
     const bool may_join = candidates[i].has_pending_message && !best.late && !best.busy;
     if (may_join && difference <= kJoinTolerance) {
-      equal = found_joinable ? equal : 0;
+      total_weight = found_joinable ? total_weight : 0;
       found_joinable = true;
-    } else if (found_joinable || difference > kFinishTolerance) {
+    } else if (found_joinable || difference > kTargetFinishTolerance) {
       continue;
     }
-    ++equal;
-    if (DrawIndex(equal, random) == 0) chosen = i;
+    const double weight = std::max(1.0, candidates[i].free_share * candidates[i].slots);
+    total_weight += weight;
+    if (unit(random) * total_weight < weight) chosen = i;
   }
-  if (chosen && candidates[*chosen].full) {
+  if (!chosen || candidates[*chosen].full || (best.late && best.remote) ||
+      !MeetsDeadline(candidates[*chosen], query, kShortRunFactor)) {
     return std::nullopt;
   }
   return chosen;
--- a/src/core/policy/placement.h
+++ b/src/core/policy/placement.h
@@ -30,6 +30,8 @@
   bool full = false;
   /// Speed relative to the mean of the fleet; 2 means half the run time.
   double speed = 1;
+  /// Multiple of the run time because the task's data is on another rack.
+  double run_factor = 1;
   /// Expected time until a task sent now would start on this agent.
   Microseconds expected_wait{0};
   bool same_data_centre = true;
@@ -51,6 +53,8 @@
   /// Other tasks need the fast endpoints to meet their deadlines, so part of the capacity of those
   /// endpoints is reserved.
   bool reserve_fast_endpoints = false;
+  /// Some endpoint near the task's data is in service, so that waiting for it is of use.
+  bool may_wait_near_data = false;
 };
 
 /// Returns the index of the chosen candidate, or nothing to leave the task waiting at the entry.
--- a/src/core/service_configuration.h
+++ b/src/core/service_configuration.h
@@ -99,6 +99,8 @@
   /// Number of agents that an entry uses. A service with no more agents than this is used whole by
   /// every entry.
   std::uint32_t subset_size = 64;
+  /// Run time of a task whose data is on another rack, as a multiple of that near its data.
+  double remote_data_factor = 1;
 
   /// Returns the kind with this name, or nullptr.
   const KindConfiguration* FindKind(std::string_view kind) const {
--- a/src/entry/job_relay.cc
+++ b/src/entry/job_relay.cc
@@ -64,9 +64,19 @@
   return true;
 }
 
-void JobRelay::NoteRefusal(const std::string& peer) {
+void JobRelay::NoteResult(const std::string& peer, PeerResult result) {
   const std::lock_guard lock(this->mutex);
-  this->shedding.NoteRefusal(peer, this->clock.Now());
+  switch (result) {
+    case PeerResult::kServed:
+      this->shedding.NoteServed(peer);
+      break;
+    case PeerResult::kRefused:
+      this->shedding.NoteRefusal(peer, this->clock.Now());
+      break;
+    case PeerResult::kNoResponse:
+      this->shedding.NoteFailure(peer, this->clock.Now());
+      break;
+  }
 }
 
 }  // namespace quetzalvale
--- a/src/entry/job_relay.h
+++ b/src/entry/job_relay.h
@@ -41,8 +41,9 @@
   /// The caller of the exchange is gone. Returns whether its request was with a peer.
   bool Abandon(std::uint64_t exchange);
 
-  /// The peer did not take a request; others get the next ones.
-  void NoteRefusal(const std::string& peer);
+  /// What became of a request at the peer, which decides about the next ones.
+  enum class PeerResult { kServed, kRefused, kNoResponse };
+  void NoteResult(const std::string& peer, PeerResult result);
 
   /// Drops what is under way. Call before what the results need is destroyed.
   void Stop() { this->loop.Stop(); }
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -36,6 +36,7 @@
   visit("queued", m.queued);
   visit("configuration_version", m.configuration_version);
   visit("leaving", m.leaving);
+  visit("speed", m.speed);
 }
 
 template <typename V>
@@ -46,6 +47,8 @@
   visit("time_left_ms", m.time_left);
   visit("repeatable", m.repeatable);
   visit("attempt", m.attempt);
+  visit("expected_us", m.expected);
+  visit("start_within_ms", m.start_within);
 }
 
 template <typename V>
@@ -142,6 +145,7 @@
   visit("address", m.address);
   visit("worker", m.worker);
   visit("load", m.load);
+  visit("labels", m.labels);
 }
 
 template <typename V>
@@ -211,6 +215,7 @@
   visit("deadline_ms", m.deadline);
   visit("tasks", m.tasks);
   visit("body_hash", m.body_hash);
+  visit("data_rack", m.data_rack);
 }
 
 template <typename V>
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -39,6 +39,8 @@
   /// URL of the endpoint beside an agent.
   std::string endpoint;
   WorkerCapacity worker;
+  /// Properties of an agent's machine, such as the name of its rack.
+  std::vector<std::string> labels;
   std::string shared_key;
   std::vector<Administrator> administrators;
   /// debug, info, warning or error.
--- a/src/settings/service_document.cc
+++ b/src/settings/service_document.cc
@@ -117,7 +117,9 @@
       "description": "0 to 10000"},
     "retry_share": {"type": "number", "minimum": 0, "maximum": 10, "description": "0 to 10"},
     "subset_size": {"type": "integer", "minimum": 1, "maximum": 100000,
-      "description": "1 to 100000"}
+      "description": "1 to 100000"},
+    "remote_data_factor": {"type": "number", "minimum": 1, "maximum": 1000,
+      "description": "run time on another rack than the data's over that near the data, 1 to 1000"}
   }
 })";
 
@@ -276,6 +278,7 @@
   Read(document, "agent_queue", configuration.agent_queue);
   Read(document, "retry_share", configuration.retry_share);
   Read(document, "subset_size", configuration.subset_size);
+  Read(document, "remote_data_factor", configuration.remote_data_factor);
   return configuration;
 }
 
--- a/tests/adapter/libraries.cmake
+++ b/tests/adapter/libraries.cmake
@@ -1,1 +1,2 @@
-target_link_libraries(adapter_test PRIVATE quetzalvale_platform)
+find_package(rapidcheck REQUIRED)
+target_link_libraries(adapter_test PRIVATE quetzalvale_platform rapidcheck)
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -59,7 +59,7 @@
   const auto& configuration = std::get<OperatorConfiguration>(decoded);
   EXPECT_EQ(configuration.version, 7U);
   ASSERT_EQ(configuration.routes.size(), 2U);
-  const auto documents = ServiceDocuments(configuration, Milliseconds(1000));
+  const auto documents = ServiceDocuments(configuration, Milliseconds(1000), 3);
   ASSERT_EQ(documents.size(), 2U);
   for (const auto& [service, document] : documents) {
     const auto process_settings = DecodeServiceDocument(document, service);
@@ -118,5 +118,49 @@
   EXPECT_EQ(body["expect"][0]["ver"].asUInt64(), 3U);
 }
 
+// A worker without limits would be sent everything: a report whose capacity cannot be read names no
+// worker to use.
+TEST(WireTest, ReportWithoutReadableCapacityIsRejected) {
+  const auto kind = [](const std::string& capacity) {
+    return KindOf(DecodeWorkerReport(
+        "i-1", R"({"service":"s","state":"ready","born":5,"seq":9,"capacity":)" + capacity + "}"));
+  };
+  EXPECT_EQ(kind(R"({"mem_mb":8})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind(R"({"cpu":"many","mem_mb":8})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind(R"({"cpu":-5,"mem_mb":8})"), ErrorKind::kMalformed);
+  EXPECT_EQ(kind(R"({"cpu":5,"mem_mb":8,"gpu":-1})"), ErrorKind::kMalformed);
+}
+
+TEST(WireTest, DecodesTheRackOfAWorkerAndOfAJobsData) {
+  const auto report = DecodeWorkerReport(
+      "i-1",
+      R"({"service":"s","state":"ready","capacity":{"cpu":16000,"mem_mb":8},"labels":["a",7,"r1-3"]})");
+  ASSERT_TRUE(IsOk(report));
+  EXPECT_EQ(std::get<WorkerReport>(report).labels, (std::vector<std::string>{"a", "r1-3"}));
+  const auto job = DecodeJob(
+      kRoute, kName,
+      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":500,"data_rack":"r1-3"}]})");
+  ASSERT_TRUE(IsOk(job));
+  EXPECT_EQ(std::get<Submission>(job).data_rack, "r1-3");
+}
+
+// A request of a few kilobytes could use up the memory of the process: each of its tasks carries a
+// copy of the specification.
+TEST(WireTest, JobThatNeedsTooMuchMemoryIsNotServed) {
+  const std::string spec(4000, 'x');
+  EXPECT_EQ(KindOf(DecodeJob(kRoute, kName,
+                             R"({"spec":")" + spec +
+                                 R"(","best_effort":true,"steps":[{"count":100000,"cpu":5}]})")),
+            ErrorKind::kNotReady);
+}
+
+TEST(WireTest, HugeEstimateIsBounded) {
+  const auto job = DecodeJob(
+      kRoute, kName,
+      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"est_ms":9223372036854775807}]})");
+  ASSERT_TRUE(IsOk(job));
+  EXPECT_LE(std::get<Submission>(job).tasks[0].declared_run_time, std::chrono::hours(24));
+}
+
 }  // namespace
 }  // namespace quetzalvale::platform
--- a/tests/adapter/worker_endpoint_test.cc
+++ b/tests/adapter/worker_endpoint_test.cc
@@ -70,6 +70,9 @@
 
   std::string address = NextLoopbackAddress();
   std::atomic<int> stop_requests{0};
+  std::atomic<int> start_requests{0};
+  /// The worker does nothing for a lower fencing token.
+  std::atomic<std::int64_t> highest_fence{0};
   /// The lease end that the last poll asked for.
   std::atomic<std::int64_t> lease_end{0};
 
@@ -101,7 +104,13 @@
     // Limits the rate of polls.
     std::this_thread::sleep_for(std::chrono::milliseconds(3));
     const std::lock_guard lock(this->mutex);
+    const std::int64_t fence = IntegerField(request.body, "fence");
+    if (fence < this->highest_fence) {
+      return {409, ClockField() + R"(,"reason":"fence"})"};
+    }
+    this->highest_fence = fence;
     if (request.target == "/api/run-start") {
+      ++this->start_requests;
       if (!this->rejection_reason.empty()) {
         return {409, ClockField() + R"(,"reason":")" + this->rejection_reason + R"("})"};
       }
@@ -155,8 +164,9 @@
     ASSERT_TRUE(this->endpoint->IsReady());
   }
 
-  void Start() {
+  void Start(std::optional<Time> start_before = std::nullopt) {
     StartOnEndpoint start;
+    start.start_before = start_before;
     start.task = kKey;
     start.payload = R"({"task":"00000000000000a1.0.0.0","spec":"x"})";
     this->endpoint->Start(start);
@@ -304,5 +314,46 @@
   EXPECT_FALSE(replacement.get());
 }
 
+// A process that was suspended between deciding a start and sending it must not start the task: its
+// owner may have started it elsewhere meanwhile.
+TEST_F(WorkerEndpointTest, StartWhoseTimeIsOverIsNotSent) {
+  this->Connect();
+  this->Start(this->clock.Now());
+  const AgentEvent event = this->Next();
+  ASSERT_TRUE(std::holds_alternative<EndpointRefused>(event));
+  EXPECT_EQ(this->worker.start_requests, 0);
+}
+
+// The same for a repetition, but the first transmission may have been carried out: only a stop
+// proves that the task does not run.
+TEST_F(WorkerEndpointTest, StartIsNotRepeatedAfterItsTimeAndThenStopped) {
+  this->Connect();
+  this->worker.Ignore("/api/run-start", 3);
+  this->Start(this->clock.Now() + Milliseconds(20));
+  const AgentEvent event = this->Next();
+  EXPECT_TRUE(std::holds_alternative<EndpointRefused>(event));
+  EXPECT_GE(this->worker.stop_requests, 1);
+  EXPECT_EQ(this->worker.start_requests, 0);
+}
+
+// A start that an earlier agent had sent can reach the worker late, after the tasks were started
+// again elsewhere. The worker refuses it because the agent that followed uses a higher token.
+TEST_F(WorkerEndpointTest, FencingTokenRisesWithEachAgent) {
+  this->Connect();
+  const std::int64_t first = this->worker.highest_fence;
+  EXPECT_GT(first, 0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  this->endpoint.reset();
+  this->Connect();
+  EXPECT_GT(this->worker.highest_fence, first);
+}
+
+// After a restart of the machine its clock is lower than the token that the worker has seen.
+TEST_F(WorkerEndpointTest, FencingTokenIsRaisedAboveTheWorkers) {
+  this->worker.highest_fence = std::int64_t{1} << 50;
+  this->Connect();
+  EXPECT_GT(this->worker.highest_fence, std::int64_t{1} << 50);
+}
+
 }  // namespace
 }  // namespace quetzalvale::platform
--- /dev/null
+++ b/tests/adapter/worker_report_server_test.cc
@@ -0,0 +1,65 @@
+#include "platform/worker_report_server.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "http/http_session.h"
+#include "tests/support/loopback_address.h"
+
+namespace quetzalvale::platform {
+namespace {
+
+class WorkerReportServerTest : public testing::Test {
+ protected:
+  WorkerReportServerTest() { EXPECT_EQ(this->server.Start(), ""); }
+
+  int Post(const std::string& call, const std::string& body) {
+    OutgoingRequest request{"POST", "/api/Instances." + call + "/i-1", body};
+    const auto result = this->session.SendAndWait(request, std::chrono::seconds(20));
+    return std::holds_alternative<HttpResponse>(result) ? std::get<HttpResponse>(result).status : 0;
+  }
+
+  int Report(int born, int sequence, const std::string& state = "ready") {
+    return this->Post("Heartbeat", R"({"service":"s","state":")" + state +
+                                       R"(","capacity":{"cpu":16000,"mem_mb":1024},"born":)" +
+                                       std::to_string(born) +
+                                       ",\"seq\":" + std::to_string(sequence) + "}");
+  }
+
+  const std::string address = NextLoopbackAddress();
+  WorkerReportServer server{this->address};
+  HttpSession session{this->address, 1};
+};
+
+// A report that was delayed until after the worker's departure registered it again, and it got
+// starts until the first poll of it failed.
+TEST_F(WorkerReportServerTest, DelayedReportDoesNotBringBackAWorkerThatLeft) {
+  this->Report(500, 1);
+  this->Report(500, 2, "draining");
+  EXPECT_EQ(this->Post("Leave", R"({"born":500})"), 200);
+  EXPECT_FALSE(this->server.LatestReport());
+  EXPECT_EQ(this->Report(500, 1), 200);
+  EXPECT_FALSE(this->server.LatestReport());
+  this->Report(600, 1);
+  ASSERT_TRUE(this->server.LatestReport()) << "a new incarnation may use the id again";
+}
+
+// The departure of the incarnation before, delayed by a partition, must not end the present one.
+TEST_F(WorkerReportServerTest, DelayedDepartureDoesNotEndTheNextIncarnation) {
+  this->Report(500, 1);
+  this->Report(600, 1);
+  this->Post("Leave", R"({"born":500})");
+  ASSERT_TRUE(this->server.LatestReport());
+  this->Post("Leave", R"({"born":600})");
+  EXPECT_FALSE(this->server.LatestReport());
+}
+
+TEST_F(WorkerReportServerTest, LateReportDoesNotEndDraining) {
+  this->Report(500, 7, "draining");
+  this->Report(500, 6);
+  EXPECT_TRUE(this->server.LatestReport()->draining);
+}
+
+}  // namespace
+}  // namespace quetzalvale::platform
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -244,5 +244,89 @@
   EXPECT_EQ(this->core.CurrentLoad().configuration_version, 3U) << "versions only increase";
 }
 
+StartRequest MakeRepeatable(std::uint64_t sequence, const std::vector<TaskKey>& tasks,
+                            Milliseconds time_left) {
+  StartRequest request = MakeStart(sequence, tasks, time_left);
+  for (StartItem& item : request.items) {
+    item.repeatable = true;
+  }
+  return request;
+}
+
+// An entry that does not hear this agent repeats its withdrawals and notices, and soon starts the
+// tasks elsewhere. While these messages counted as contact, the runs here went on beside the new
+// ones behind a link that lost one direction.
+TEST_F(AgentCoreTest, WithdrawalsAndNoticesDoNotKeepTheRunsOfAnEntryThatHearsNothing) {
+  this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1, 0)}, Milliseconds(5000))});
+  std::vector<StopOnEndpoint> stopped;
+  AnnounceReply notice;
+  notice.entry = {kOwnerId, kOwnerAddress, "dc"};
+  const WithdrawRequest withdrawal{kOwnerId, kAgentId, {WithdrawItem{9, MakeTask(9)}}, false};
+  for (int i = 0; i < 8 && stopped.empty(); ++i) {
+    for (const AgentEvent& event :
+         {AgentEvent(WithdrawReceived{2, withdrawal}), AgentEvent(NoticeReceived{3, notice})}) {
+      const auto actions = Select<StopOnEndpoint>(this->Handle(event, 50));
+      stopped.insert(stopped.end(), actions.begin(), actions.end());
+    }
+  }
+  EXPECT_EQ(stopped.size(), 1U) << "the run must end after the owner's longest silence";
+}
+
+// A reply that waited in this process while it was suspended says nothing about the present: the
+// owner was alive when the outcomes were sent.
+TEST_F(AgentCoreTest, ReplyCountsAsContactFromTheTimeOfItsRequest) {
+  this->Handle(
+      StartReceived{1, MakeRepeatable(1, {MakeTask(1, 0), MakeTask(1, 1)}, Milliseconds(5000))});
+  const auto sent = Select<SendOutcomes>(this->Finish(MakeTask(1, 0)));
+  ASSERT_TRUE(sent.empty()) << "the outcome waits for its sibling";
+  const auto later = Select<SendOutcomes>(this->Handle(Tick{}, 30));
+  ASSERT_EQ(later.size(), 1U);
+  const auto actions = this->Handle(
+      OutcomesReplied{kOwnerId, {MakeTask(1, 0)}, OutcomesReply{kOwnerId, 0}, later[0].sent}, 1000);
+  EXPECT_EQ(Select<StopOnEndpoint>(actions).size(), 1U);
+}
+
+TEST_F(AgentCoreTest, StartsOfRepeatableTasksCarryTheTimeUntilWhichTheyMayBeSent) {
+  const auto soon = Select<StartOnEndpoint>(
+      this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1)}, Milliseconds(100))}));
+  ASSERT_EQ(soon.size(), 1U);
+  EXPECT_EQ(soon[0].start_before, this->now + Milliseconds(100)) << "the job's deadline";
+  const auto late = Select<StartOnEndpoint>(
+      this->Handle(StartReceived{2, MakeRepeatable(2, {MakeTask(2)}, Milliseconds(5000))}));
+  ASSERT_EQ(late.size(), 1U);
+  EXPECT_EQ(late[0].start_before, this->now + Milliseconds(250));
+}
+
+// Guards against the pattern of a burst of several kinds: short urgent tasks waited behind long
+// ones in the queue of the worker, and were late although the long ones had time.
+TEST_F(AgentCoreTest, WaitingTaskWithTheLeastTimeStartsFirst) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1)});
+  StartRequest patient = MakeStart(2, {MakeTask(2)});
+  patient.items[0].start_within = Milliseconds(500);
+  StartRequest urgent = MakeStart(3, {MakeTask(3)});
+  urgent.items[0].start_within = Milliseconds(50);
+  this->Handle(StartReceived{1, patient});
+  this->Handle(StartReceived{1, urgent});
+  const auto started = Select<StartOnEndpoint>(this->Finish(MakeTask(1, 0)));
+  ASSERT_EQ(started.size(), 1U);
+  EXPECT_EQ(started[0].task, MakeTask(3));
+}
+
+// A connection that goes silent keeps the result of a heartbeat for as long as a call may take. The
+// owner's next reply must not have to wait for that, or its runs are given up although it is alive.
+TEST_F(AgentCoreTest, HeartbeatIsRepeatedWhileTheLastOneIsUnanswered) {
+  auto configuration = std::make_shared<ServiceConfiguration>();
+  configuration->version = 3;
+  configuration->health.heartbeat = Milliseconds(250);
+  this->Handle(AgentConfigurationChanged{configuration});
+  this->Handle(AnnounceReplied{kOwnerAddress, AnnounceReply()});
+  this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1)}, Milliseconds(5000))});
+  std::size_t heartbeats = 0;
+  for (int i = 0; i < 6; ++i) {
+    heartbeats += Select<SendHeartbeat>(this->Handle(Tick{}, 100)).size();
+  }
+  EXPECT_EQ(heartbeats, 2U);
+}
+
 }  // namespace
 }  // namespace quetzalvale
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -20,31 +20,45 @@
 class RepeatableJobsTest : public testing::Test {
  protected:
   RepeatableJobsTest() {
+    // The service is not in the settings; it is added when its configuration arrives.
+    this->Configure(3, {Kind("k", 2)});
+    this->AddAgent(kAgent, "a");
+  }
+
+  static KindConfiguration Kind(const std::string& name, std::uint32_t attempts) {
+    KindConfiguration kind{name, 0, kDeadline, Milliseconds(50)};
+    kind.attempts = attempts;
+    return kind;
+  }
+
+  void Configure(std::uint64_t version, std::vector<KindConfiguration> kinds) {
     auto configuration = std::make_shared<ServiceConfiguration>();
     configuration->service = "s";
-    configuration->version = 3;
-    KindConfiguration kind{"k", 0, kDeadline, Milliseconds(50)};
-    kind.attempts = 2;
-    configuration->kinds = {kind};
-    // The service is not in the settings; it is added when its configuration arrives.
+    configuration->version = version;
+    configuration->kinds = std::move(kinds);
+    configuration->remote_data_factor = 3;
     this->Send(ConfigurationChanged{configuration});
-    this->AddAgent(kAgent, "a");
   }
 
   void Send(const EntryEvent& event) { this->actions = this->core.Handle(this->now, event); }
 
-  void AddAgent(const Incarnation& agent, const std::string& name) {
+  void AddAgent(const Incarnation& agent, const std::string& name, const std::string& rack = "") {
     Announce announce{agent, name, "s", "dc", name, {}, {}};
+    announce.labels = {rack};
     announce.worker.slots = 8;
     announce.load.free_slots = 8;
     announce.load.clock = seconds(500);
     this->Send(AgentAnnounced{99, announce});
   }
 
-  void Submit(RequestId request) {
+  void Submit(RequestId request, const std::string& data_rack = "",
+              std::optional<Time> received = std::nullopt,
+              const std::string& name = "00000000000000a1") {
     Submission submission;
+    submission.data_rack = data_rack;
+    submission.received = received;
     submission.service = "s";
-    submission.name = "00000000000000a1";
+    submission.name = name;
     submission.kind = "k";
     submission.tasks.resize(1);
     this->Send(JobSubmitted{request, submission});
@@ -227,5 +241,102 @@
             seconds(500) + Milliseconds(100) + Milliseconds(250));
 }
 
+// The route of the job is removed between its submission and the end of its first run. The job was
+// answered as failed after one of its two attempts.
+TEST_F(RepeatableJobsTest, AttemptsHoldWhenTheKindIsRemovedMeanwhile) {
+  this->AddAgent(kOtherAgent, "b");
+  this->Submit(1);
+  const StartRequest first = this->AcceptLastStart();
+  this->Configure(4, {Kind("other", 1)});
+  this->ReportOutcome(first, false, "endpoint_failed");
+  EXPECT_EQ(this->FindAnswer(), nullptr);
+  ASSERT_NE(this->Find<SendStart>(), nullptr);
+  const StartRequest second = this->AcceptLastStart();
+  this->ReportOutcome(second, false, "endpoint_failed");
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, "task_failed");
+}
+
+// A version that lowers the number of attempts does not take attempts from a job in progress.
+TEST_F(RepeatableJobsTest, AttemptsHoldWhenANewVersionAllowsFewer) {
+  this->AddAgent(kOtherAgent, "b");
+  this->Submit(1);
+  const StartRequest first = this->AcceptLastStart();
+  this->Configure(4, {Kind("k", 1)});
+  this->ReportOutcome(first, false, "endpoint_failed");
+  EXPECT_EQ(this->FindAnswer(), nullptr);
+  EXPECT_NE(this->Find<SendStart>(), nullptr);
+}
+
+// A run that ends failed at the job's deadline leaves no time for the other attempt. The caller
+// must hear that the time was over and not that the job cannot be done.
+TEST_F(RepeatableJobsTest, JobWithAttemptsLeftIsNotAnsweredAsFailedAtItsDeadline) {
+  this->Submit(1);
+  const StartRequest first = this->AcceptLastStart();
+  this->now += kDeadline;
+  this->ReportOutcome(first, false, "endpoint_failed");
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, "deadline");
+  EXPECT_FALSE(this->FindAnswer()->not_run);
+}
+
+// The deadline of a job that waited in this process while it was suspended counts from its receipt:
+// its caller has submitted it elsewhere by then.
+TEST_F(RepeatableJobsTest, DeadlineCountsFromTheReceiptOfTheJob) {
+  const Time received = this->now;
+  this->now += kDeadline - Milliseconds(100);
+  this->Submit(1, "", received);
+  ASSERT_NE(this->Find<SendStart>(), nullptr);
+  EXPECT_EQ(this->Find<SendStart>()->message.items[0].time_left, Milliseconds(100));
+  this->now += Milliseconds(200);
+  this->Submit(2, "", received);
+  EXPECT_EQ(this->Find<SendStart>(), nullptr);
+  ASSERT_NE(this->FindAnswer(), nullptr);
+}
+
+// The agent hears the starts of this entry, which hears nothing of it: a link that lost one
+// direction. Its runs end only some time after the last start, so until then they must not be
+// started elsewhere.
+TEST_F(RepeatableJobsTest, TasksOfASilentAgentAreNotRestartedSoonAfterAStartWasSentToIt) {
+  auto configuration = std::make_shared<ServiceConfiguration>();
+  configuration->service = "s";
+  configuration->version = 9;
+  configuration->kinds = {Kind("k", 2)};
+  configuration->health.heartbeat = Milliseconds(100);
+  configuration->health.agent_lost = Milliseconds(300);
+  configuration->health.agent_dead = Milliseconds(1000);
+  this->Send(ConfigurationChanged{configuration});
+  this->Submit(1);
+  this->AcceptLastStart();
+  const Time heard = this->now;
+  this->now = heard + Milliseconds(280);
+  this->Submit(2, "", std::nullopt, "00000000000000a2");
+  ASSERT_NE(this->Find<SendStart>(), nullptr);
+  this->AddAgent(kOtherAgent, "b");
+  Time restarted{};
+  while (restarted == Time{} && this->now < heard + kDeadline) {
+    this->now += Milliseconds(20);
+    this->Send(HeartbeatReceived{98, {kOtherAgent, {.free_slots = 8}, 0}});
+    restarted = this->Find<SendStart>() == nullptr ? Time{} : this->now;
+  }
+  EXPECT_GE(restarted, heard + Milliseconds(1280));
+  EXPECT_LT(restarted, heard + Milliseconds(1400));
+}
+
+// Guards against the pattern hot_key: tasks ran on any rack and took three times as long there.
+TEST_F(RepeatableJobsTest, TasksRunOnTheRackOfTheirData) {
+  this->AddAgent(kOtherAgent, "b", "r2");
+  for (RequestId request = 1; request <= 5; ++request) {
+    this->Submit(request, "r2");
+    const auto* start = this->Find<SendStart>();
+    ASSERT_NE(start, nullptr);
+    EXPECT_EQ(start->message.agent, kOtherAgent);
+    this->ReportOutcome(start->message, true);
+    this->now += seconds(20);
+    this->AddAgent(kAgent, "a");
+    this->AddAgent(kOtherAgent, "b", "r2");
+  }
+}
+
 }  // namespace
 }  // namespace quetzalvale
--- a/tests/core/simulation.cc
+++ b/tests/core/simulation.cc
@@ -373,8 +373,9 @@
         [this, message = outcomes->message](Process& to, RequestId request) {
           if (to.entry) this->HandleEntry(to, OutcomesReceived{request, message});
         },
-        [this, owner = outcomes->message.owner, tasks](Process& from, Result<OutcomesReply> reply) {
-          this->HandleAgent(from, OutcomesReplied{owner, tasks, std::move(reply)});
+        [this, owner = outcomes->message.owner, tasks, sent = outcomes->sent](
+            Process& from, Result<OutcomesReply> reply) {
+          this->HandleAgent(from, OutcomesReplied{owner, tasks, std::move(reply), sent});
         });
   } else if (const auto* announce = std::get_if<SendAnnounce>(&action)) {
     this->Call<AnnounceReply>(
@@ -382,8 +383,9 @@
         [this, message = announce->message](Process& to, RequestId request) {
           if (to.entry) this->HandleEntry(to, AgentAnnounced{request, message});
         },
-        [this, to = announce->address](Process& from, Result<AnnounceReply> reply) {
-          this->HandleAgent(from, AnnounceReplied{to, std::move(reply)});
+        [this, to = announce->address, sent = announce->sent](Process& from,
+                                                              Result<AnnounceReply> reply) {
+          this->HandleAgent(from, AnnounceReplied{to, std::move(reply), sent});
         });
   } else if (const auto* heartbeat = std::get_if<SendHeartbeat>(&action)) {
     ++this->counts["heartbeat"];
@@ -392,8 +394,9 @@
         [this, message = heartbeat->message](Process& to, RequestId request) {
           if (to.entry) this->HandleEntry(to, HeartbeatReceived{request, message});
         },
-        [this, to = heartbeat->address](Process& from, Result<AnnounceReply> reply) {
-          this->HandleAgent(from, AnnounceReplied{to, std::move(reply)});
+        [this, to = heartbeat->address, sent = heartbeat->sent](Process& from,
+                                                                Result<AnnounceReply> reply) {
+          this->HandleAgent(from, AnnounceReplied{to, std::move(reply), sent});
         });
   } else if (const auto* noticed = std::get_if<ReplyNotice>(&action)) {
     this->DeliverReply(noticed->request, noticed->reply);
--- a/tests/entry/job_relay_test.cc
+++ b/tests/entry/job_relay_test.cc
@@ -95,7 +95,7 @@
     chosen = this->relay.Choose(std::chrono::milliseconds(500)).has_value();
   }
   EXPECT_TRUE(chosen);
-  this->relay.NoteRefusal(this->peer.address);
+  this->relay.NoteResult(this->peer.address, JobRelay::PeerResult::kRefused);
   EXPECT_FALSE(this->relay.Choose(std::chrono::milliseconds(500)));
 }
 
--- a/tests/policy/offload_policy_test.cc
+++ b/tests/policy/offload_policy_test.cc
@@ -70,6 +70,25 @@
   EXPECT_EQ(this->policy.Fraction(), fraction);
 }
 
+// Guards against jobs that wait for an entry that is gone for good: its row stays in the table, and
+// each job handed to it was answered only after its time.
+TEST_F(OffloadPolicyTest, PauseOfAPeerThatDoesNotRespondGrows) {
+  this->PassWindows(5, milliseconds(200));
+  const auto gets_jobs_after = [this](milliseconds pause) {
+    this->now += pause;
+    return this->CountDestinations().contains("large:1");
+  };
+  this->policy.NoteFailure("large:1", this->now);
+  EXPECT_FALSE(gets_jobs_after(milliseconds(499)));
+  EXPECT_TRUE(gets_jobs_after(milliseconds(1)));
+  this->policy.NoteFailure("large:1", this->now);
+  EXPECT_FALSE(gets_jobs_after(milliseconds(999)));
+  EXPECT_TRUE(gets_jobs_after(milliseconds(1)));
+  this->policy.NoteServed("large:1");
+  this->policy.NoteFailure("large:1", this->now);
+  EXPECT_TRUE(gets_jobs_after(milliseconds(500))) << "a response ends the series of failures";
+}
+
 // Guards against offloading to a large entry that is overloaded, frozen or leaving.
 TEST_F(OffloadPolicyTest, PeerThatRefusedIsPaused) {
   this->PassWindows(5, milliseconds(200));
--- a/tests/policy/target_placement_test.cc
+++ b/tests/policy/target_placement_test.cc
@@ -126,11 +126,71 @@
 
 // If no endpoint finishes the task on time, waiting only makes it later.
 TEST(TargetPlacementTest, LateTaskGoesWhereItEndsFirst) {
-  const auto query = Query(milliseconds(900), milliseconds(300), milliseconds(300));
+  const auto query = Query(milliseconds(900), milliseconds(300), milliseconds(1480));
   EXPECT_EQ(Choose({Endpoint(kSlow, 8, 0.8), Endpoint(kFast, 1, 0.1), Full(kFast, milliseconds(0))},
                    query),
             1);
 }
 
+// Guards against runs that only take capacity: the deadline would end them before their result.
+TEST(TargetPlacementTest, TaskThatCannotMeetItsDeadlineIsNotStarted) {
+  const auto query = Query(milliseconds(900), milliseconds(300), milliseconds(300));
+  EXPECT_EQ(Choose({Endpoint(kSlow, 8, 0.8), Endpoint(kFast, 1, 0.1)}, query), std::nullopt);
+}
+
+// Guards against a fleet in which a fifth of the workers has become slow by a factor of seven: all
+// others counted as fast ones, and a quarter of them was kept free of short tasks.
+TEST(TargetPlacementTest, FaultyEndpointDoesNotMakeTheOthersFastOnes) {
+  constexpr double kFaulty = 0.14;
+  const std::vector<Candidate> candidates{Endpoint(kFaulty, 10, 1), Endpoint(1, 2, 0.2),
+                                          Endpoint(1, 2, 0.2), Endpoint(1, 2, 0.2)};
+  auto query = Query(milliseconds(60), milliseconds(156), milliseconds(1480));
+  EXPECT_FALSE(NeedsFastEndpoint(candidates,
+                                 Query(milliseconds(250), milliseconds(500), milliseconds(1480))));
+  query.reserve_fast_endpoints = true;
+  const auto chosen = Choose(candidates, query);
+  ASSERT_TRUE(chosen);
+  EXPECT_NE(*chosen, 0U);
+}
+
+Candidate Remote(Candidate candidate) {
+  candidate.run_factor = 3;
+  return candidate;
+}
+
+// Guards against a burst of requests about one item (hot_key): its data is on one rack, and a run
+// elsewhere takes three times the time and the capacity.
+TEST(TargetPlacementTest, TaskRunsNearItsDataEvenIfItHasToQueueThere) {
+  auto query = Query(milliseconds(60), milliseconds(196), milliseconds(1480));
+  query.may_wait_near_data = true;
+  Candidate busy = Endpoint(1, 0, 0);
+  busy.expected_wait = milliseconds(40);
+  EXPECT_EQ(Choose({Remote(Endpoint(1, 8, 0.8)), busy}, query), 1);
+  EXPECT_EQ(Choose({Remote(Endpoint(1, 2, 0.2)), Full(1, milliseconds(40))}, query), std::nullopt)
+      << "only an idle endpoint has capacity for a remote run";
+}
+
+TEST(TargetPlacementTest, TaskRunsAwayFromItsDataOnIdleEndpointsOrIfNoneIsNearIt) {
+  auto query = Query(milliseconds(60), milliseconds(250), milliseconds(1480));
+  query.may_wait_near_data = true;
+  EXPECT_EQ(Choose({Remote(Endpoint(1, 8, 0.8)), Full(1, milliseconds(240))}, query), 0);
+  query.may_wait_near_data = false;
+  EXPECT_EQ(Choose({Remote(Endpoint(1, 2, 0.2))}, query), 0);
+}
+
+// Guards against entries that all choose the same endpoint because they see the same speeds.
+TEST(TargetPlacementTest, SimilarEndpointsAreChosenByTheirFreeCapacity) {
+  const auto query = Query(milliseconds(60), milliseconds(196), milliseconds(1480));
+  const std::vector<Candidate> candidates{Endpoint(1.04, 6, 0.6), Endpoint(1, 9, 0.9)};
+  Random random(1);
+  const PlacementHook place = MakePlacement(PlacementPolicy::kDefault);
+  std::vector<int> chosen(candidates.size());
+  for (int i = 0; i < 1000; ++i) {
+    ++chosen.at(place(candidates, query, random).value());
+  }
+  EXPECT_NEAR(chosen[0], 400, 60);
+  EXPECT_NEAR(chosen[1], 600, 60);
+}
+
 }  // namespace
 }  // namespace quetzalvale
