--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -224,9 +225,12 @@
     }
   }
 
+  /// Whether the peer has closed or reset the connection.
   bool HasPeerClosed() {
     char next = 0;
-    return recv(this->stream.socket().native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    const ssize_t read =
+        recv(this->stream.socket().native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return read == 0 || (read < 0 && errno != EAGAIN && errno != EINTR);
   }
 
   /// Waits for the end of the connection while the request is handled. What can be read instead is
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -44,6 +44,13 @@
     return {buffer, static_cast<std::size_t>(std::max<ssize_t>(0, size))};
   }
 
+  /// Closes the connection by a reset.
+  void Reset() {
+    const linger discard{1, 0};
+    setsockopt(this->socket, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    this->Close();
+  }
+
   void Close() {
     if (this->socket >= 0) ::close(std::exchange(this->socket, -1));
   }
@@ -115,6 +122,34 @@
   EXPECT_EQ(handled, 2);
 }
 
+// The same for a connection that was reset: its caller sends the request again, and two runs of one
+// task were in progress at once.
+TEST_F(HttpServerTest, RequestOfAConnectionThatWasResetIsNotHandled) {
+  std::promise<void> blocked;
+  std::promise<void> release;
+  std::atomic<int> handled{0};
+  this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
+    ++handled;
+    if (request.target == "/block") {
+      blocked.set_value();
+      release.get_future().wait();
+    }
+    respond({200, "{}"});
+  });
+  RawClient blocker(this->address);
+  blocker.Send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_EQ(blocked.get_future().wait_for(kPatience), std::future_status::ready);
+  RawClient gone(this->address);
+  gone.Send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+  gone.Reset();
+  release.set_value();
+  RawClient next(this->address);
+  next.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(next.Receive(), "");
+  this->server->Stop(kPatience);
+  EXPECT_EQ(handled, 2);
+}
+
 // A second request on the connection is no sign that the peer is gone.
 TEST_F(HttpServerTest, NextRequestSentEarlyIsServedAfterTheFirst) {
   HttpResponder first;
