--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <future>
 #include <memory>
 #include <stdexcept>
@@ -69,6 +70,34 @@
     ASSERT_EQ(this->server->Start(), "");
   }
 
+  /// Blocks the server, sends a request whose connection ends by `leave` before the server reads
+  /// it, and checks that only the two other requests are handled.
+  void CheckRequestOfAGoneCallerIsNotHandled(const std::function<void(RawClient&)>& leave) {
+    std::promise<void> blocked;
+    std::promise<void> release;
+    std::atomic<int> handled{0};
+    this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
+      ++handled;
+      if (request.target == "/block") {
+        blocked.set_value();
+        release.get_future().wait();
+      }
+      respond({200, "{}"});
+    });
+    RawClient blocker(this->address);
+    blocker.Send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_EQ(blocked.get_future().wait_for(kPatience), std::future_status::ready);
+    RawClient gone(this->address);
+    gone.Send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+    leave(gone);
+    release.set_value();
+    RawClient next(this->address);
+    next.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(next.Receive(), "");
+    this->server->Stop(kPatience);
+    EXPECT_EQ(handled, 2);
+  }
+
   std::string address = NextLoopbackAddress();
   std::promise<std::uint64_t> abandoned;
   std::unique_ptr<HttpServer> server;
@@ -97,57 +126,13 @@
 // Behind a partition a request and the end of its connection arrive together, long after the caller
 // has given the request up and submitted it elsewhere.
 TEST_F(HttpServerTest, RequestOfAPeerThatHasClosedIsNotHandled) {
-  std::promise<void> release;
-  std::promise<void> blocked;
-  std::atomic<int> handled{0};
-  this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
-    ++handled;
-    if (request.target == "/block") {
-      blocked.set_value();
-      release.get_future().wait();
-    }
-    respond({200, "{}"});
-  });
-  RawClient blocker(this->address);
-  blocker.Send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n");
-  ASSERT_EQ(blocked.get_future().wait_for(kPatience), std::future_status::ready);
-  RawClient gone(this->address);
-  gone.Send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
-  gone.Close();
-  release.set_value();
-  RawClient next(this->address);
-  next.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
-  EXPECT_NE(next.Receive(), "");
-  this->server->Stop(kPatience);
-  EXPECT_EQ(handled, 2);
+  this->CheckRequestOfAGoneCallerIsNotHandled([](RawClient& caller) { caller.Close(); });
 }
 
 // The same for a connection that was reset: its caller sends the request again, and two runs of one
 // task were in progress at once.
 TEST_F(HttpServerTest, RequestOfAConnectionThatWasResetIsNotHandled) {
-  std::promise<void> blocked;
-  std::promise<void> release;
-  std::atomic<int> handled{0};
-  this->Start([&](const HttpRequest& request, const HttpResponder& respond) {
-    ++handled;
-    if (request.target == "/block") {
-      blocked.set_value();
-      release.get_future().wait();
-    }
-    respond({200, "{}"});
-  });
-  RawClient blocker(this->address);
-  blocker.Send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n");
-  ASSERT_EQ(blocked.get_future().wait_for(kPatience), std::future_status::ready);
-  RawClient gone(this->address);
-  gone.Send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
-  gone.Reset();
-  release.set_value();
-  RawClient next(this->address);
-  next.Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
-  EXPECT_NE(next.Receive(), "");
-  this->server->Stop(kPatience);
-  EXPECT_EQ(handled, 2);
+  this->CheckRequestOfAGoneCallerIsNotHandled([](RawClient& caller) { caller.Reset(); });
 }
 
 // A second request on the connection is no sign that the peer is gone.
