--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -374,6 +374,7 @@
         self.random = random.Random(seed)
         self.work = tempfile.mkdtemp(prefix="review-")
         self.processes = {}
+        self.programs = {}
         self.entry_hosts = [f"127.0.1.{i + 1}" for i in range(entries)]
         self.worker_hosts = [f"127.0.2.{i + 1}" for i in range(workers)]
         self.store_host = "127.0.3.1"
@@ -426,6 +427,7 @@
         return {"report_address": f"{host}:{self.report_port}", "worker_address": f"{host}:{self.app_port}"}
 
     async def run_program(self, role, name, more, host):
+        self.programs[name] = (role, name, more, host)
         settings = {"name": name, "data_centre": "zone-a", "inner_host": host,
                     "inner_ports": [self.inner_port, self.inner_port + 15],
                     "store_address": f"{self.store_host}:{self.store_port}", "longest_lease_ms": HOLD_MAX_MS,
@@ -497,6 +499,9 @@
     trouble = os.environ.get("TROUBLE", "1") != "0" if trouble is None else trouble
 
     async def main():
+        play_task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, play_task.cancel)
         deployment = Deployment(folder, entries, workers, seed)
         try:
             await deployment.start()
@@ -511,7 +516,7 @@
 
     try:
         code = asyncio.run(asyncio.wait_for(main(), 115))
-    except Exception as problem:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as problem:  # pylint: disable=broad-except
         print("could not run:", repr(problem))
         code = NOT_RUN
     sys.exit(code)
