Write warnings and errors at log level info

Operators saw no line of level WARNING or ERROR at the default log level `info`: no start_in_doubt (8010), no start_too_late (8019), no endpoint_down (2011).

Cause: the level was set in the logging library as well, whose hierarchical mode ranks information above warnings and errors, so a threshold of information left both out. Ruled out: the budget of lines (no 9000) and the ring (no 9001).

Log() already compares the level itself, so the library's threshold is no longer set. LogTest.LevelInfoWritesWarningsAndErrors failed before (no warning_event, no error_event) and passes now.

--- a/src/runtime/log.cc
+++ b/src/runtime/log.cc
@@ -18,20 +18,6 @@
 namespace quetzalvale {
 namespace {
 
-el::Level ToEasyLevel(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return el::Level::Debug;
-    case LogLevel::kInfo:
-      return el::Level::Info;
-    case LogLevel::kWarning:
-      return el::Level::Warning;
-    case LogLevel::kError:
-      return el::Level::Error;
-  }
-  return el::Level::Info;
-}
-
 void Write(LogLevel level, const std::string& line) {
   switch (level) {
     case LogLevel::kDebug:
@@ -168,7 +154,6 @@
 }  // namespace
 
 void InitLog(std::string_view program, LogLevel lowest) {
-  el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
   el::Loggers::addFlag(el::LoggingFlag::DisableApplicationAbortOnFatalLog);
   el::Configurations configuration;
   configuration.setToDefault();
@@ -182,10 +167,8 @@
   writer = new LogWriter(std::string(program));
 }
 
-void SetLogLevel(LogLevel lowest) {
-  lowest_level = lowest;
-  el::Loggers::setLoggingLevel(ToEasyLevel(lowest));
-}
+// The library's own threshold is not used: it ranks information above warnings and errors.
+void SetLogLevel(LogLevel lowest) { lowest_level = lowest; }
 
 void Log(LogLevel level, int number, std::string_view name, std::string_view details) {
   if (level < lowest_level.load()) {
