Do not send a start again once its task was stopped

A worker left a start unanswered, the caller was gone and the task was stopped; the repetition of the start, 40 ms after the first, then started the task. Likewise a start that its stop had overtaken was refused as `old`, was given a higher number and sent again.

The run table now records that the start of a run is cancelled: it is neither repeated nor renumbered. After a first transmission without an answer the run stays in doubt, as before, so "not run" is not said without proof.

WorkerEndpointTest.StartIsNotRepeatedAfterTheTaskWasStopped failed before (the task started, no refusal within 20 s) and passes now. RunTableTest.CancelledStartIsNotRenumbered does not compile on the old code.

--- a/tests/adapter/run_table_test.cc
+++ b/tests/adapter/run_table_test.cc
@@ -111,6 +111,19 @@
   EXPECT_TRUE(this->Apply(snapshot, Milliseconds(50)).empty());
 }
 
+// A stop that overtook its start made the worker refuse the start's number as used. The start was
+// then sent with a higher number and ran although it had been stopped.
+TEST_F(RunTableTest, CancelledStartIsNotRenumbered) {
+  const RunId run = this->BeginRun();
+  EXPECT_FALSE(this->table.IsStartCancelled(run));
+  this->table.CancelStart(run);
+  EXPECT_TRUE(this->table.IsStartCancelled(run));
+  EXPECT_EQ(this->table.Renumber(run), std::nullopt);
+  const auto rejected = this->table.RejectStart(run);
+  ASSERT_TRUE(rejected) << "the run stays in the table until its rejection is reported";
+  EXPECT_EQ(rejected->end_state, EndState::kNotRun);
+}
+
 TEST_F(RunTableTest, MarksAllRunsLostWhenTheWorkerIsGone) {
   this->BeginRun();
   const auto lost = this->table.MarkAllLost(kStart + seconds(1));
--- a/tests/adapter/worker_endpoint_test.cc
+++ b/tests/adapter/worker_endpoint_test.cc
@@ -336,6 +336,18 @@
   EXPECT_EQ(this->worker.start_requests, 0);
 }
 
+// The caller was gone before the worker answered the start. Its repetition started the task after
+// the stop had been sent, and the run went on although nobody wanted it.
+TEST_F(WorkerEndpointTest, StartIsNotRepeatedAfterTheTaskWasStopped) {
+  this->Connect();
+  this->worker.Ignore("/api/run-start", 1);
+  this->Start();
+  this->endpoint->Stop(kKey);
+  const AgentEvent event = this->Next();
+  EXPECT_TRUE(std::holds_alternative<EndpointRefused>(event));
+  EXPECT_EQ(this->worker.start_requests, 0);
+}
+
 // A start that an earlier agent had sent can reach the worker late, after the tasks were started
 // again elsewhere. The worker refuses it because the agent that followed uses a higher token.
 TEST_F(WorkerEndpointTest, FencingTokenRisesWithEachAgent) {
--- a/tests/runtime/log_test.cc
+++ b/tests/runtime/log_test.cc
@@ -9,8 +9,9 @@
 
 constexpr std::chrono::seconds kTestTimeout{20};
 
-// The logging library ranks information above warnings and errors. With the level set there as well,
-// `info` left out every warning and error, such as those of orders that a worker left unanswered.
+// The logging library ranks information above warnings and errors. With the level set there as
+// well, `info` left out every warning and error, such as those of orders that a worker left
+// unanswered.
 TEST(LogTest, LevelInfoWritesWarningsAndErrors) {
   InitLog("log-test", LogLevel::kInfo);
   testing::internal::CaptureStdout();
