Count a start as contact from when it was decided

Cause: AgentCore recorded the contact with the owner when it read the start, up to 250 ms after the owner had made it, and RunWatchdog counts its 450 and 700 ms from there.

The contact now counts from the decision, which accept_until gives on the agent's clock. A start must also be sent to the worker while its owner counts as heard, because it extends the lease as a poll does. Ruled out: replies to heartbeats and outcomes, which count from their requests already; withdrawals and notices, which do not count.

AgentCoreTest.StartCountsAsContactFromTheTimeOfItsDecision failed before (no stop at 700 ms after the decision) and passes now.

--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -123,6 +123,8 @@
   /// Whether the request arrived after its `accept_until`: its owner has given up its repeatable
   /// tasks by then.
   bool IsPastAcceptUntil(const StartRequest& request) const;
+  /// Returns when the owner made the request. It may have waited here for long.
+  Time DecisionTime(const StartRequest& request) const;
   /// Dispatches the queued tasks that may start, oldest first.
   void StartQueuedTasks();
   /// Whether a task queued behind `ahead` may start now: a slot and its declared resources are
--- a/src/core/agent/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -46,7 +46,7 @@
   } else {
     this->outcomes.HeardFrom(message.owner, message.owner_address, this->now);
     if (!this->IsPastAcceptUntil(message)) {
-      this->watchdog.RecordOwnerContact(message.owner, this->now);
+      this->watchdog.RecordOwnerContact(message.owner, this->DecisionTime(message));
     }
     for (const auto& item : message.items) {
       reply.decisions.push_back(this->DecideStart(message, item, &reply));
@@ -140,6 +140,13 @@
   return request.accept_until.count() > 0 && this->now.time_since_epoch() >= request.accept_until;
 }
 
+Time AgentCore::DecisionTime(const StartRequest& request) const {
+  if (request.accept_until.count() == 0) {
+    return this->now;
+  }
+  return std::min(this->now, Time(request.accept_until - kStartAcceptWindow));
+}
+
 bool AgentCore::IsBusy(const Resources& task) const {
   if (!this->resources.EverFits(task)) {
     return true;
@@ -241,7 +248,9 @@
   start.attempt = record.attempt;
   start.time_left = std::chrono::duration_cast<Milliseconds>(record.deadline - this->now);
   if (record.repeatable) {
-    start.start_before = std::min(record.deadline, this->now + kStartValidity);
+    // A start extends the lease of the worker, so it needs an owner that was heard lately.
+    start.start_before = std::min({record.deadline, this->now + kStartValidity,
+                                   this->watchdog.RenewalLimit(task.ticket.owner)});
   }
   this->speed.Started(task, record.expected, this->now);
   this->leases.Add(task, record.lease, this->now);
--- a/src/core/agent/run_watchdog.h
+++ b/src/core/agent/run_watchdog.h
@@ -63,6 +63,12 @@
   /// removed.
   std::vector<DueStop> TakeDue(Time now);
 
+  /// Returns when the owner will have been silent for kMaxSilenceForRenewal. Precondition: its
+  /// contact was recorded.
+  Time RenewalLimit(const Incarnation& owner) const {
+    return this->last_heard.at(owner) + kMaxSilenceForRenewal;
+  }
+
   /// Whether leases must not be renewed, because the owner of some run has been silent for
   /// kMaxSilenceForRenewal or some run had to end kMaxStopTimeForRenewal ago.
   bool ForbidsLeaseRenewal(Time now) const;
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -41,11 +41,6 @@
 /// end there. The same time limits the wait for the reply to a liveness check.
 constexpr int kStaleReportDivisor = 10;
 
-/// An agent refuses a start that arrives later than this after the entry made it. Longer than the
-/// wait in the message queue of a busy receiver, and much shorter than the time after which a
-/// caller submits again.
-constexpr Milliseconds kStartAcceptWindow{250};
-
 /// Capacity on fast endpoints stays reserved for this long after the last task that needed it.
 /// Longer than the gaps between such tasks where they are a small part of the traffic.
 constexpr std::chrono::seconds kFastCapacityReservation{2};
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -78,6 +78,11 @@
   std::optional<Milliseconds> start_within{};
 };
 
+/// An agent refuses a start that arrives later than this after the entry made it. Longer than the
+/// wait in the message queue of a busy receiver, and much shorter than the time after which a caller
+/// submits again.
+inline constexpr Milliseconds kStartAcceptWindow{250};
+
 /// Asks one agent incarnation to start tasks. The agent accepts each channel sequence at most once.
 struct StartRequest {
   Incarnation owner;
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -320,6 +320,32 @@
   EXPECT_EQ(Select<StopOnEndpoint>(actions).size(), 1U);
 }
 
+// A start that waited in the socket of a suspended agent counted as contact when it was read, so
+// the runs of an entry that had been killed meanwhile went on for that time longer.
+TEST_F(AgentCoreTest, StartCountsAsContactFromTheTimeOfItsDecision) {
+  constexpr Milliseconds kAge{200};
+  StartRequest request = MakeRepeatable(1, {MakeTask(1)}, Milliseconds(5000));
+  request.accept_until = std::chrono::duration_cast<Microseconds>(
+      (this->now + Milliseconds(1) - kAge + kStartAcceptWindow).time_since_epoch());
+  ASSERT_EQ(Select<StartOnEndpoint>(this->Handle(StartReceived{1, request})).size(), 1U);
+  const Milliseconds left = RunWatchdog::kMaxOwnerSilence - kAge;
+  const int left_ms = static_cast<int>(left.count());
+  EXPECT_TRUE(Select<StopOnEndpoint>(this->Handle(Tick{}, left_ms - 1)).empty());
+  EXPECT_EQ(Select<StopOnEndpoint>(this->Handle(Tick{})).size(), 1U);
+}
+
+// A start that a process sent after a suspension extended the lease of the worker for an owner that
+// had been silent for as long as leases may be extended.
+TEST_F(AgentCoreTest, StartMustBeSentWhileItsOwnerCountsAsHeard) {
+  StartRequest request = MakeRepeatable(1, {MakeTask(1)}, Milliseconds(5000));
+  const Time decided = this->now + Milliseconds(1) - Milliseconds(240);
+  request.accept_until = std::chrono::duration_cast<Microseconds>(
+      (decided + kStartAcceptWindow).time_since_epoch());
+  const auto started = Select<StartOnEndpoint>(this->Handle(StartReceived{1, request}));
+  ASSERT_EQ(started.size(), 1U);
+  EXPECT_EQ(started[0].start_before, decided + RunWatchdog::kMaxSilenceForRenewal);
+}
+
 TEST_F(AgentCoreTest, StartsOfRepeatableTasksCarryTheTimeUntilWhichTheyMayBeSent) {
   const auto soon = Select<StartOnEndpoint>(
       this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1)}, Milliseconds(100))}));
