--- a/tests/adapter/worker_endpoint_test.cc
+++ b/tests/adapter/worker_endpoint_test.cc
@@ -68,6 +68,15 @@
     }
   }
 
+  /// Refuses connections from now on.
+  void StopListening() { this->server.Stop(std::chrono::milliseconds(0)); }
+
+  /// Returns the time on the worker's clock, in milliseconds.
+  static std::int64_t ClockMs() {
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  }
+
   std::string address = NextLoopbackAddress();
   std::atomic<int> stop_requests{0};
   std::atomic<int> start_requests{0};
@@ -94,11 +103,7 @@
   }
 
   /// Returns the beginning of a response body, with the worker's clock.
-  static std::string ClockField() {
-    const auto now = std::chrono::steady_clock::now().time_since_epoch();
-    return R"({"clock_ms":)" +
-           std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-  }
+  static std::string ClockField() { return R"({"clock_ms":)" + std::to_string(ClockMs()); }
 
   HttpResponse Handle(const HttpRequest& request) {
     // Limits the rate of polls.
@@ -348,6 +353,23 @@
   EXPECT_EQ(this->worker.start_requests, 0);
 }
 
+// A worker that was cut off refused connections and ran on. Two refused polls in a row counted as
+// its end, so its tasks were started again elsewhere beside the runs that still held their lease.
+TEST_F(WorkerEndpointTest, RunsOfAWorkerThatRefusesConnectionsEndWithTheirLease) {
+  this->Connect();
+  this->Start();
+  EXPECT_FALSE(this->TryNext(std::chrono::milliseconds(100))) << "the task runs";
+  this->worker.StopListening();
+  AgentEvent event = this->Next();
+  while (std::holds_alternative<EndpointChecked>(event)) {
+    event = this->Next();
+  }
+  EXPECT_GE(FakeWorker::ClockMs(), this->worker.lease_end);
+  const auto* finished = std::get_if<EndpointFinished>(&event);
+  ASSERT_NE(finished, nullptr);
+  EXPECT_EQ(std::get<Outcome>(finished->outcome).reason, "endpoint_lost");
+}
+
 // A start that an earlier agent had sent can reach the worker late, after the tasks were started
 // again elsewhere. The worker refuses it because the agent that followed uses a higher token.
 TEST_F(WorkerEndpointTest, FencingTokenRisesWithEachAgent) {
