Let handed-on jobs state until when they may be accepted

Cause: the time limit of a handed-on job counted from when the receiver read it. Ruled out: the check for a closed connection, as a sender that stands still closes nothing; the receiver's core, which counts deadlines from the time of receipt that it is given.

The sender now states on the receiver's clock until when the job may be accepted, 250 ms after it was sent, and the time limit counts from the sending. The clock is learned from responses; a peer whose clock is unknown is asked for it and gets no job yet. What arrives later, without a limit, or with one further ahead than the window is refused as not run, and the sender places it.

--- a/src/entry/job_relay.h
+++ b/src/entry/job_relay.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/policy/offload_policy.h"
+#include "entry/peer_clocks.h"
 #include "http/http_loop.h"
 #include "http/http_session.h"
 #include "runtime/clock.h"
@@ -34,6 +35,10 @@
   /// longest time that an event waited here lately.
   std::optional<std::string> Choose(Time::duration lag);
 
+  /// Returns the peer's clock now, as its last response told, and never ahead of it. Without a
+  /// response yet, asks the peer for its clock and returns nothing.
+  std::optional<Time> PeerTime(const std::string& peer);
+
   /// Sends the request. `done` runs on the relay's thread, at most once: not after Abandon.
   void Send(const std::string& peer, std::uint64_t exchange, OutgoingRequest request,
             std::chrono::milliseconds timeout, Done done);
@@ -55,6 +60,9 @@
   };
 
   HttpSession& SessionOf(const std::string& peer);
+  void AskForClock(const std::string& peer);
+  /// Records the clock that came with a response.
+  void RecordClock(const std::string& peer, const HttpResult& result);
   bool TakeCall(std::uint64_t exchange);
 
   const Clock& clock;
@@ -65,6 +73,9 @@
   /// Kept for good: peers are few.
   std::map<std::string, std::unique_ptr<HttpSession>> sessions;
   std::map<std::uint64_t, Call> calls;
+  PeerClocks clocks;
+  /// When each peer may be asked for its clock again.
+  std::map<std::string, Time> next_clock_request;
 };
 
 }  // namespace quetzalvale
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "http/http_loop.h"
+#include "http/uri_text.h"
 #include "runtime/clock.h"
 
 namespace quetzalvale {
@@ -198,6 +199,11 @@
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
     response.body = std::move(message.body());
+    for (const auto& field : message.base()) {
+      if (field.name() == http::field::unknown) {
+        response.headers[LowerCase(std::string(field.name_string()))] = std::string(field.value());
+      }
+    }
     if (!message.keep_alive() || this->timed_out) {
       this->Drop();
     }
--- a/src/http/http_session.h
+++ b/src/http/http_session.h
@@ -33,7 +33,8 @@
   HttpSession(const HttpSession&) = delete;
   HttpSession& operator=(const HttpSession&) = delete;
 
-  /// `done` runs on the loop's thread, once. The timeout counts from this call. Returns the number
+  /// `done` runs on the loop's thread, once. The timeout counts from this call. Of the headers of a
+  /// response, `done` gets those that HTTP does not define, by lower-case name. Returns the number
   /// of the call.
   std::uint64_t Send(OutgoingRequest request, std::chrono::milliseconds timeout, Done done);
 
--- /dev/null
+++ b/tests/adapter/job_api_test.cc
@@ -0,0 +1,104 @@
+#include "platform/job_api.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <memory>
+#include <optional>
+
+#include "entry/relay_headers.h"
+#include "tests/support/loopback_address.h"
+
+namespace quetzalvale::platform {
+namespace {
+
+constexpr std::chrono::seconds kTestTimeout{20};
+constexpr char kTooLate[] = "too late";
+
+/// An entry without agents.
+class JobApiTest : public testing::Test {
+ protected:
+  JobApiTest() : runtime(MakeOptions()), api(this->runtime, 1) {
+    EXPECT_EQ(this->runtime.Start({}), "");
+    QueueRoute route;
+    route.name = "queue";
+    route.host = "desk.example";
+    route.path_prefix = "/jobs/";
+    route.service = "s";
+    route.timeout = Milliseconds(1500);
+    this->api.SetRoutes({route});
+  }
+
+  ~JobApiTest() override {
+    this->api.Stop();
+    this->runtime.Stop();
+  }
+
+  static EntryRuntime::Options MakeOptions() {
+    EntryRuntime::Options options;
+    options.inner_address = NextLoopbackAddress();
+    options.self = {{1, 1}, options.inner_address, "dc"};
+    options.shared_key = "k";
+    options.services = {"s"};
+    options.claim_key = [](const ClaimKey&) {};
+    options.render_answer = RenderJobAnswer;
+    return options;
+  }
+
+  /// Submits a job that another entry handed on with this limit.
+  HttpResponse SubmitHandedOn(std::optional<Time> accept_until) {
+    HttpRequest request;
+    request.method = "POST";
+    request.target = "/jobs/00000000000000a1";
+    request.host = "desk.example";
+    request.body = R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":100,"est_ms":50}]})";
+    request.headers = {{kRelayedHeader, "1"}, {"x-deadline-ms", "1150"}};
+    if (accept_until) {
+      request.headers[kAcceptUntilHeader] = FormatHeaderTime(*accept_until);
+    }
+    auto promise = std::make_shared<std::promise<HttpResponse>>();
+    auto response = promise->get_future();
+    this->api.Handle(request, [promise](HttpResponse result) { promise->set_value(result); });
+    if (response.wait_for(kTestTimeout) != std::future_status::ready) {
+      ADD_FAILURE() << "no response";
+      return {};
+    }
+    return response.get();
+  }
+
+  EntryRuntime runtime;
+  JobApi api;
+};
+
+// A suspended entry read a job that had been handed on to it 2.7 s before, counted the time limit
+// from then on, and ran it beside the copy that the caller had submitted to a third entry.
+TEST_F(JobApiTest, HandedOnJobThatIsReadLateIsRefusedAsNotRun) {
+  const HttpResponse response = this->SubmitHandedOn(this->runtime.Time().Now());
+  EXPECT_EQ(response.status, 503);
+  EXPECT_NE(response.body.find(kTooLate), std::string::npos) << response.body;
+}
+
+TEST_F(JobApiTest, HandedOnJobWithoutALimitIsRefusedAsNotRun) {
+  EXPECT_EQ(this->SubmitHandedOn(std::nullopt).status, 503);
+}
+
+TEST_F(JobApiTest, HandedOnJobThatIsReadInTimeIsTaken) {
+  const HttpResponse response =
+      this->SubmitHandedOn(this->runtime.Time().Now() + kRelayAcceptWindow);
+  EXPECT_EQ(response.body.find(kTooLate), std::string::npos) << response.body;
+}
+
+// Without the clock of this entry, the other one cannot state until when a job may be accepted.
+TEST_F(JobApiTest, ResponsesToOtherEntriesTellTheClock) {
+  const Time before = this->runtime.Time().Now();
+  const HttpResponse response = this->SubmitHandedOn(std::nullopt);
+  const auto header = response.headers.find(kPeerClockHeader);
+  ASSERT_NE(header, response.headers.end());
+  const auto time = ParseHeaderTime(header->second);
+  ASSERT_TRUE(time);
+  EXPECT_GE(*time, before - Milliseconds(1));
+  EXPECT_LE(*time, this->runtime.Time().Now());
+}
+
+}  // namespace
+}  // namespace quetzalvale::platform
--- a/tests/entry/job_relay_test.cc
+++ b/tests/entry/job_relay_test.cc
@@ -4,7 +4,10 @@
 
 #include <future>
 #include <memory>
+#include <optional>
+#include <thread>
 
+#include "entry/relay_headers.h"
 #include "http/http_server.h"
 #include "runtime/clock.h"
 #include "tests/support/loopback_address.h"
@@ -85,6 +88,26 @@
   EXPECT_TRUE(std::get<HttpFailure>(result.get()).not_sent);
 }
 
+// The time until which the peer may accept a job is stated on the peer's clock, which is asked for
+// first and then comes with each response.
+TEST_F(JobRelayTest, PeerIsAskedForItsClock) {
+  EXPECT_FALSE(this->relay.PeerTime(this->peer.address));
+  EXPECT_EQ(this->peer.Arrived().Header(kRelayedHeader), "1");
+  const Time peer_time{std::chrono::hours(7)};
+  HttpResponse response{404, "{}"};
+  response.headers[kPeerClockHeader] = FormatHeaderTime(peer_time);
+  this->peer.responder(response);
+  std::optional<Time> estimate;
+  const auto until = this->clock.Now() + kPatience;
+  while (!estimate && this->clock.Now() < until) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    estimate = this->relay.PeerTime(this->peer.address);
+  }
+  ASSERT_TRUE(estimate);
+  EXPECT_GE(*estimate, peer_time);
+  EXPECT_LT(*estimate, peer_time + kPatience);
+}
+
 // A late entry sends jobs to its peers, and not to one that has just refused.
 TEST_F(JobRelayTest, ChoosesAPeerOnlyWhileEventsWaitHere) {
   this->relay.SetPeers({{this->peer.address, 0.5}});
