Run a failed repeatable task again on the same agent

Cause: the agent answered the second attempt with the record of the first run, which is kept for tasks that must not be repeated. Ruled out: attempts lost to a change of configuration, to the deadline or to a hand-over between entries, which have tests.

A later attempt of a repeatable task starts again once the outcome of the earlier one was acknowledged. On the same path: an outcome of an earlier attempt does not end the next; a withdrawn later attempt whose start was lost has not run; a run in progress answers for a later attempt, because refusing that would let the owner place the task elsewhere beside it.

AgentCoreTest.FailedTaskRunsAgainOnTheSameAgent, LostStartOfALaterAttemptIsReportedAsNotRun and RunInProgressServesALaterAttempt, and RepeatableJobsTest.RepeatedOutcomeOfAnAttemptDoesNotEndTheNext failed before and pass now.

--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -90,7 +90,8 @@
 
   StartRefusal DecideStart(const StartRequest& request, const StartItem& item, StartReply* reply);
   /// Answers a start of a task that already has a record.
-  StartRefusal DecideRecorded(const TaskRecord& record, StartReply* reply) const;
+  StartRefusal DecideRecorded(const TaskRecord& record, const StartRequest& request,
+                              const StartItem& item, StartReply* reply);
   StartRefusal DecideUnrecorded(const StartRequest& request, const StartItem& item);
   /// Whether the task can neither start now nor be queued.
   bool IsBusy(const Resources& task) const;
--- a/src/core/agent/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -28,6 +28,12 @@
   return "none";
 }
 
+/// Whether the start is another attempt after one that has ended without success, or did not run. A
+/// task that must not be repeated starts again only if it did not run.
+bool MayStartAgain(const TaskRecord& record, const StartItem& item) {
+  return record.DidNotRun() || (record.FailedRepeatable() && item.attempt > record.attempt);
+}
+
 }  // namespace
 
 void AgentCore::On(const StartReceived& event) {
@@ -68,14 +74,14 @@
     return StartRefusal::kWrongIncarnation;
   }
   const TaskRecord* record = this->store.Find(item.task);
-  if (record != nullptr && record->DidNotRun() && record->released) {
-    // The owner has received the proof that the earlier start did not run, and places the task
-    // again.
-    this->store.RemoveNotRun(item.task);
+  if (record != nullptr && MayStartAgain(*record, item) && record->released) {
+    // The owner has received the outcome of the earlier start, and places the task again.
+    this->started.Forget(item.task);
+    this->store.RemoveReleased(item.task);
     record = nullptr;
   }
   if (record != nullptr) {
-    return this->DecideRecorded(*record, reply);
+    return this->DecideRecorded(*record, request, item, reply);
   }
   if (this->guards.query_started(this->started, item.task) != StartedStatus::kNever) {
     // A refusal would falsely state that the task did not run.
@@ -86,14 +92,18 @@
   return this->DecideUnrecorded(request, item);
 }
 
-StartRefusal AgentCore::DecideRecorded(const TaskRecord& record, StartReply* reply) const {
-  if (record.DidNotRun()) {
+StartRefusal AgentCore::DecideRecorded(const TaskRecord& record, const StartRequest& request,
+                                       const StartItem& item, StartReply* reply) {
+  if (MayStartAgain(record, item)) {
     // The outcome of the earlier start is still being delivered. Its acknowledgement would be
     // mistaken for that of the new start's outcome.
     return StartRefusal::kBusy;
   }
   if (record.state == TaskState::kFinished) {
     reply->outcomes.push_back(record.outcome);
+  } else if (item.attempt > record.attempt) {
+    // The owner did not learn that the earlier attempt goes on, which now counts as this one.
+    this->store.SetChannelSequence(item.task, request.channel_sequence);
   }
   return StartRefusal::kNone;
 }
--- a/src/core/agent/agent_core_withdrawal.cc
+++ b/src/core/agent/agent_core_withdrawal.cc
@@ -30,6 +30,11 @@
   if (record == nullptr || !own) {
     return this->MakeReport(item.task);
   }
+  if (record->FailedRepeatable() && item.channel_sequence > record->channel_sequence) {
+    // The record is of an earlier attempt: the start of this one was lost, and cannot arrive any
+    // more.
+    return TaskReport{item.task, TaskStatus::kNotRun, std::nullopt};
+  }
   // A delayed duplicate of an earlier withdrawal must not withdraw a later start.
   const bool stale = item.channel_sequence < record->channel_sequence;
   if (record->state == TaskState::kQueued && !stale) {
--- a/src/core/agent/task_store.cc
+++ b/src/core/agent/task_store.cc
@@ -112,11 +112,12 @@
   target.emplace_back(now, task);
 }
 
-void TaskStore::RemoveNotRun(const TaskKey& task) {
+void TaskStore::RemoveReleased(const TaskKey& task) {
   const auto found = this->records.find(task);
+  ReleasedQueue& queue = found->second.DidNotRun() ? this->released_not_run : this->released_ran;
   this->bytes -= OutcomeBytes(found->second);
   this->records.erase(found);
-  std::erase_if(this->released_not_run, [&](const auto& item) { return item.second == task; });
+  std::erase_if(queue, [&](const auto& item) { return item.second == task; });
 }
 
 void TaskStore::DiscardExpired(Time now) {
--- a/src/core/agent/task_store.h
+++ b/src/core/agent/task_store.h
@@ -53,6 +53,11 @@
   bool DidNotRun() const {
     return this->state == TaskState::kFinished && (!this->dispatched || this->refused);
   }
+
+  /// Whether the task has ended without success and may be run again.
+  bool FailedRepeatable() const {
+    return this->repeatable && this->state == TaskState::kFinished && !this->outcome.ok;
+  }
 };
 
 /// Keeps each finished record until it is released, and then for the retention time. When full, it
@@ -111,9 +116,14 @@
   /// Removes a queued task. Precondition: it is queued.
   void RemoveQueued(const TaskKey& task);
 
-  /// Removes the record of a task that did not run. Precondition: DidNotRun(), and the record is
-  /// released.
-  void RemoveNotRun(const TaskKey& task);
+  /// Removes the record of a task that may start again. Precondition: the record is released.
+  void RemoveReleased(const TaskKey& task);
+
+  /// Lets the outcome of an unfinished task count as that of a later start. Precondition: the task
+  /// has a record.
+  void SetChannelSequence(const TaskKey& task, std::uint64_t sequence) {
+    this->records.at(task).channel_sequence = sequence;
+  }
 
   /// Starts the retention time of a finished task. No effect if the task is not finished or already
   /// released.
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -292,6 +292,13 @@
   if (task.state != JobTaskState::kSent || task.agent != incarnation) {
     return;
   }
+  const bool of_earlier_attempt = job->IsRepeatable() && !outcome.ok &&
+                                  outcome.channel_sequence != 0 &&
+                                  outcome.channel_sequence != task.channel_sequence;
+  if (of_earlier_attempt) {
+    // It was sent again because its acknowledgement was lost; the task has been placed again.
+    return;
+  }
   if (ProvesNotRun(outcome)) {
     if (outcome.channel_sequence != task.channel_sequence) {
       return;
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -35,7 +35,8 @@
   std::string result = "null";
   Microseconds run_time{0};
   /// Channel sequence of the start that this outcome belongs to. Without it, a delayed proof of
-  /// "not run" could be mistaken for that of a later start of the same task on the same agent.
+  /// "not run", or a failure of an earlier attempt, could be mistaken for that of a later start of
+  /// the same task on the same agent. Zero if the agent has no record of the start.
   std::uint64_t channel_sequence = 0;
 };
 
@@ -79,8 +80,8 @@
 };
 
 /// An agent refuses a start that arrives later than this after the entry made it. Longer than the
-/// wait in the message queue of a busy receiver, and much shorter than the time after which a caller
-/// submits again.
+/// wait in the message queue of a busy receiver, and much shorter than the time after which a
+/// caller submits again.
 inline constexpr Milliseconds kStartAcceptWindow{250};
 
 /// Asks one agent incarnation to start tasks. The agent accepts each channel sequence at most once.
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/agent/outcome_reasons.h"
 #include "tests/agent/agent_fixture.h"
 
 namespace quetzalvale {
@@ -320,6 +321,59 @@
   EXPECT_EQ(Select<StopOnEndpoint>(actions).size(), 1U);
 }
 
+/// Ends a run of the task as failed and returns the outcomes that are sent to its owner.
+std::vector<SendOutcomes> FailRun(AgentCore& core, Time* now, const TaskKey& task) {
+  *now += Milliseconds(1);
+  return Select<SendOutcomes>(
+      core.Handle(*now, EndpointFinished{task, FailedOutcome(task, "endpoint_failed")}));
+}
+
+StartRequest MakeAttempt(std::uint64_t sequence, std::uint32_t attempt) {
+  StartRequest request = MakeRepeatable(sequence, {MakeTask(1)}, Milliseconds(5000));
+  request.items[0].attempt = attempt;
+  return request;
+}
+
+// When one agent was left, the second attempt of a task went to the agent of the first, which
+// answered with the outcome of the first. The job was shown as failed after one run.
+TEST_F(AgentCoreTest, FailedTaskRunsAgainOnTheSameAgent) {
+  this->Handle(StartReceived{1, MakeAttempt(1, 1)});
+  const auto sent = FailRun(this->core, &this->now, MakeTask(1));
+  ASSERT_EQ(sent.size(), 1U);
+  const auto before = this->Handle(StartReceived{2, MakeAttempt(2, 2)});
+  EXPECT_EQ(this->StartReplyOf(before).decisions, Decisions{StartRefusal::kBusy})
+      << "the first outcome has not been acknowledged yet";
+  this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, OutcomesReply{kOwnerId, 0}, this->now});
+  const auto actions = this->Handle(StartReceived{3, MakeAttempt(3, 2)});
+  EXPECT_EQ(this->StartReplyOf(actions).decisions, Decisions{StartRefusal::kNone});
+  EXPECT_TRUE(this->StartReplyOf(actions).outcomes.empty());
+  const auto started = Select<StartOnEndpoint>(actions);
+  ASSERT_EQ(started.size(), 1U);
+  EXPECT_EQ(started[0].attempt, 2U);
+}
+
+// The agent has the outcome of the first attempt, which says nothing about a second whose start was
+// lost.
+TEST_F(AgentCoreTest, LostStartOfALaterAttemptIsReportedAsNotRun) {
+  this->Handle(StartReceived{1, MakeAttempt(1, 1)});
+  FailRun(this->core, &this->now, MakeTask(1));
+  const WithdrawRequest withdrawal{kOwnerId, kAgentId, {WithdrawItem{2, MakeTask(1)}}, false};
+  const auto actions = this->Handle(WithdrawReceived{2, withdrawal});
+  EXPECT_EQ(Select<ReplyWithdraw>(actions).at(0).reply.reports.at(0).status, TaskStatus::kNotRun);
+}
+
+// An owner that lost sight of the agent starts the task again while its first run goes on. The
+// outcome of that run then ends the attempt that the owner waits for.
+TEST_F(AgentCoreTest, RunInProgressServesALaterAttempt) {
+  this->Handle(StartReceived{1, MakeAttempt(1, 1)});
+  const auto actions = this->Handle(StartReceived{2, MakeAttempt(2, 2)});
+  EXPECT_EQ(this->StartReplyOf(actions).decisions, Decisions{StartRefusal::kNone});
+  EXPECT_TRUE(Select<StartOnEndpoint>(actions).empty());
+  const auto sent = FailRun(this->core, &this->now, MakeTask(1));
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_EQ(sent[0].message.outcomes.at(0).channel_sequence, 2U);
+}
+
 // A start that waited in the socket of a suspended agent counted as contact when it was read, so
 // the runs of an entry that had been killed meanwhile went on for that time longer.
 TEST_F(AgentCoreTest, StartCountsAsContactFromTheTimeOfItsDecision) {
@@ -339,8 +393,8 @@
 TEST_F(AgentCoreTest, StartMustBeSentWhileItsOwnerCountsAsHeard) {
   StartRequest request = MakeRepeatable(1, {MakeTask(1)}, Milliseconds(5000));
   const Time decided = this->now + Milliseconds(1) - Milliseconds(240);
-  request.accept_until = std::chrono::duration_cast<Microseconds>(
-      (decided + kStartAcceptWindow).time_since_epoch());
+  request.accept_until =
+      std::chrono::duration_cast<Microseconds>((decided + kStartAcceptWindow).time_since_epoch());
   const auto started = Select<StartOnEndpoint>(this->Handle(StartReceived{1, request}));
   ASSERT_EQ(started.size(), 1U);
   EXPECT_EQ(started[0].start_before, decided + RunWatchdog::kMaxSilenceForRenewal);
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -93,7 +93,8 @@
     message.agent = start.agent;
     message.owner = kEntry;
     message.load.free_slots = 8;
-    message.outcomes = {Outcome{start.items[0].task, ok, reason, "null", Milliseconds(10)}};
+    message.outcomes = {
+        Outcome{start.items[0].task, ok, reason, "null", Milliseconds(10), start.channel_sequence}};
     this->Send(OutcomesReceived{96, message});
   }
 
@@ -192,6 +193,21 @@
   EXPECT_EQ(this->FindAnswer()->reason, "task_failed");
 }
 
+// The outcome of the first attempt is sent again when its acknowledgement is lost. It counted as
+// the end of the second attempt on the same agent, and the job was shown as failed after one run.
+TEST_F(RepeatableJobsTest, RepeatedOutcomeOfAnAttemptDoesNotEndTheNext) {
+  this->Submit(1);
+  const StartRequest first = this->AcceptLastStart();
+  this->ReportOutcome(first, false, "endpoint_failed");
+  const StartRequest second = this->AcceptLastStart();
+  ASSERT_EQ(second.agent, first.agent);
+  this->ReportOutcome(first, false, "endpoint_failed");
+  EXPECT_EQ(this->FindAnswer(), nullptr);
+  this->ReportOutcome(second, false, "endpoint_failed");
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, "task_failed");
+}
+
 // A run that was stopped or whose worker was lost is not a failure of the task.
 TEST_F(RepeatableJobsTest, InterruptedRunsDoNotCountAsAttempts) {
   this->Submit(1);
