Name withdrawn tasks in replies to heartbeats

Calls from an entry to an agent share one connection. When that goes silent, the withdrawal of a job whose caller is gone waits behind the call before it for up to 2 s, while the agent's heartbeats on a connection of its own keep the run going, and the caller's second submission runs beside it.

Ruled out as a remedy: a shorter time limit for withdrawals alone, as the limit does not count while a call waits for the connection.

Until the agent has answered the withdrawal of a running task, the entry names the task in its replies to heartbeats and announcements, which come every 250 ms while a task runs that long. The new field is the last one of the message, so older processes skip it.

--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -29,6 +29,12 @@
   const auto& reply = std::get<AnnounceReply>(event.reply);
   this->watchdog.RecordOwnerContact(reply.entry.incarnation, event.sent);
   this->announcer.Answered(event.address, reply, this->now);
+  const WithdrawRequest withdrawal{
+      reply.entry.incarnation, this->identity.incarnation, {}, /*stop_running=*/true};
+  for (const WithdrawItem& item : reply.withdrawn) {
+    // The report goes with the answer to the withdrawal itself.
+    this->Withdraw(withdrawal, item);
+  }
   this->FetchConfigurationIfNewer(reply.configuration_version, event.address);
 }
 
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -296,6 +297,7 @@
 
   // Settlement of starts (entry_core_settlement.cc).
   void SendWithdrawals();
+  std::vector<WithdrawItem> WithdrawItems(std::span<const TaskRef> tasks) const;
   void SettleStart(const StartReply& reply, const Incarnation& agent, std::uint64_t sequence,
                    const std::vector<TaskRef>& tasks);
   void OnRefusal(const TaskRef& task, const Incarnation& agent, StartRefusal refusal);
--- a/src/core/entry/entry_core_notices.cc
+++ b/src/core/entry/entry_core_notices.cc
@@ -44,6 +44,7 @@
     agent->notified_member = reply.member;
     agent->notified_version = reply.configuration_version;
     agent->notified_peers_seen = this->peers.TotalPeersSeen();
+    reply.withdrawn = this->WithdrawItems(agent->withdrawals.UnansweredStops());
   }
   return reply;
 }
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -192,6 +192,15 @@
   }
 }
 
+std::vector<WithdrawItem> EntryCore::WithdrawItems(std::span<const TaskRef> tasks) const {
+  std::vector<WithdrawItem> items;
+  for (const TaskRef& ref : tasks) {
+    const Job& job = *this->jobs.Find(ref.job);
+    items.push_back({job.tasks[ref.index].channel_sequence, {job.ticket, ref.index}});
+  }
+  return items;
+}
+
 void EntryCore::SendWithdrawals() {
   for (auto& [incarnation, agent] : this->directory.Agents()) {
     if (agent.withdrawals.Size() == 0) {
@@ -205,10 +214,7 @@
     request.owner = this->self.incarnation;
     request.agent = incarnation;
     request.stop_running = batch->stop_running;
-    for (const TaskRef& ref : batch->tasks) {
-      const Job& job = *this->jobs.Find(ref.job);
-      request.items.push_back({job.tasks[ref.index].channel_sequence, {job.ticket, ref.index}});
-    }
+    request.items = this->WithdrawItems(batch->tasks);
     ++this->counters.withdrawals;
     this->Emit(SendWithdraw{agent.announce.address, std::move(request)});
   }
--- a/src/core/entry/withdraw_queue.cc
+++ b/src/core/entry/withdraw_queue.cc
@@ -63,10 +63,21 @@
     // A stop that was requested while the message was in flight has not been sent yet.
     if (found != this->items.end() && found->second.stop_running == this->in_flight_stop_running) {
       found->second.due = now + kRunningTaskRetryInterval;
+      found->second.stop_answered = found->second.stop_running;
     }
   }
 }
 
+std::vector<TaskRef> WithdrawQueue::UnansweredStops() const {
+  std::vector<TaskRef> tasks;
+  for (const auto& [task, item] : this->items) {
+    if (item.stop_running && !item.stop_answered && tasks.size() < kMaxBatchTasks) {
+      tasks.push_back(task);
+    }
+  }
+  return tasks;
+}
+
 void WithdrawQueue::OnFailed(Time now) {
   this->in_flight = false;
   this->backoff = std::clamp(this->backoff * 2, kMinBackoff, kMaxBackoff);
--- a/src/core/entry/withdraw_queue.h
+++ b/src/core/entry/withdraw_queue.h
@@ -35,6 +35,9 @@
   /// are running; their withdrawal is repeated later in case their outcome is lost.
   void OnAnswered(const std::vector<TaskRef>& tasks, Time now);
 
+  /// Returns the tasks whose stop the agent has not answered.
+  std::vector<TaskRef> UnansweredStops() const;
+
   /// Handles a withdrawal that the agent did not answer.
   void OnFailed(Time now);
 
@@ -43,6 +46,8 @@
  private:
   struct Item {
     bool stop_running = false;
+    /// Whether the agent has answered that the task runs and is being stopped.
+    bool stop_answered = false;
     Time due{};
   };
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -234,6 +234,9 @@
   bool member = false;
   /// False if the entry does not know the incarnation and needs a full announcement.
   bool known = true;
+  /// Tasks to stop, whose withdrawal the agent has not answered yet: the connection that it was
+  /// sent on may have gone silent. Only in replies.
+  std::vector<WithdrawItem> withdrawn{};
 };
 
 /// One agent in an owner's roster, the versioned list of the agents that the owner uses.
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -170,6 +170,7 @@
   visit("configuration_version", m.configuration_version);
   visit("member", m.member);
   visit("known", m.known);
+  visit("withdrawn", m.withdrawn);
 }
 
 template <typename V>
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -288,6 +288,17 @@
   EXPECT_TRUE(Select<StopOnEndpoint>(this->Handle(Tick{}, 300)).empty());
 }
 
+// A withdrawal waited for up to 2 s behind a connection that had gone silent, while heartbeats on
+// another one kept the run going beside the second run of the job.
+TEST_F(AgentCoreTest, ReplyToAHeartbeatStopsWithdrawnRuns) {
+  this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1)}, Milliseconds(5000))});
+  AnnounceReply reply;
+  reply.entry = {kOwnerId, kOwnerAddress, "dc"};
+  reply.withdrawn = {WithdrawItem{1, MakeTask(1)}};
+  const auto actions = this->Handle(AnnounceReplied{kOwnerAddress, reply, this->now});
+  EXPECT_EQ(Select<StopOnEndpoint>(actions).size(), 1U);
+}
+
 // While no stop reaches the worker, only the end of its lease ends the run. A live owner kept the
 // lease extended, so the run outlasted the 1,300 ms after which its caller submits again.
 TEST_F(AgentCoreTest, LeasesAreNotExtendedWhileAStopHasNoEffect) {
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -152,6 +152,32 @@
   EXPECT_EQ(this->Find<SendWithdraw>(), nullptr);
 }
 
+// A withdrawal waited for up to 2 s behind a connection that had gone silent. Until the agent
+// answers it, the replies to its heartbeats, which come on another connection, tell which tasks to
+// stop.
+TEST_F(RepeatableJobsTest, RepliesToHeartbeatsNameTasksWhoseStopIsUnanswered) {
+  const auto withdrawn = [this] {
+    this->Send(HeartbeatReceived{98, {kAgent, {}, 0}});
+    return this->Find<ReplyAnnounce>()->reply.withdrawn;
+  };
+  this->Submit(1);
+  const StartRequest start = this->AcceptLastStart();
+  EXPECT_TRUE(withdrawn().empty());
+  this->Send(CallerDisconnected{1});
+  const auto* withdrawal = this->Find<SendWithdraw>();
+  ASSERT_NE(withdrawal, nullptr);
+  const WithdrawRequest request = withdrawal->message;
+  const auto items = withdrawn();
+  ASSERT_EQ(items.size(), 1U);
+  EXPECT_EQ(items[0].task, start.items[0].task);
+  EXPECT_EQ(items[0].channel_sequence, start.channel_sequence);
+  WithdrawReply reply;
+  reply.agent = kAgent;
+  reply.reports = {TaskReport{items[0].task, TaskStatus::kRunning, std::nullopt}};
+  this->Send(WithdrawReplied{kAgent, request.items, reply});
+  EXPECT_TRUE(withdrawn().empty()) << "the agent remembers the stop";
+}
+
 // A new submission of a stopped job must not start it while its earlier runs have not ended.
 TEST_F(RepeatableJobsTest, DoesNotRestartStoppedJobBeforeItsRunsHaveEnded) {
   this->Submit(1);
