--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -201,7 +201,9 @@
     response.body = std::move(message.body());
     for (const auto& field : message.base()) {
       if (field.name() == http::field::unknown) {
-        response.headers[LowerCase(std::string(field.name_string()))] = std::string(field.value());
+        const auto name = field.name_string();
+        const auto value = field.value();
+        response.headers[LowerCase({name.begin(), name.end()})] = {value.begin(), value.end()};
       }
     }
     if (!message.keep_alive() || this->timed_out) {
