--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -89,7 +89,7 @@
   void On(const Tick& event);
 
   StartRefusal DecideStart(const StartRequest& request, const StartItem& item, StartReply* reply);
-  /// Answers a start of a task that already has a record.
+  /// Answers a start of a task that already has a record, which the start may take over.
   StartRefusal DecideRecorded(const TaskRecord& record, const StartRequest& request,
                               const StartItem& item, StartReply* reply);
   StartRefusal DecideUnrecorded(const StartRequest& request, const StartItem& item);
--- a/src/core/agent/run_watchdog.cc
+++ b/src/core/agent/run_watchdog.cc
@@ -57,7 +57,7 @@
   return std::ranges::any_of(this->tasks, [&](const auto& item) {
     const auto& [task, run] = item;
     const Time had_to_end = std::min(run.deadline, run.withdrawn.value_or(run.deadline));
-    // Compared by the age, because a deadline of Time::max() plus a time would overflow.
+    // As a difference, because Time::max() plus a time would overflow.
     return now - had_to_end >= kMaxStopTimeForRenewal ||
            this->IsSilent(task.ticket.owner, now, kMaxSilenceForRenewal);
   });
