Wait in leaving_unheard until both agents take tasks

Its premise, not the guarantee, did not hold. Trace: entry-1 adds agent-1 at 55.737 s, the first task is placed there and refused (refused_starts=1 in line 1040 of that job), endpoint_up of agent-1 comes at 55.743 s, and the task runs on agent-2 beside the other one.

Cause: an agent announces itself before the first check of its endpoint has ended, and refuses starts until then, while the scenario starts its load as soon as the entry knows the agents. It now waits until both agents say that they are ready. The check of guarantee 6 and all limits are as they were; with the guard refuses_starts removed the scenario still fails by that check.

--- a/scenarios/leaving_unheard.lua
+++ b/scenarios/leaving_unheard.lua
@@ -4,6 +4,10 @@
 local c = cluster{workers = 2, entries = 1, slots = 4, relays = true, changes = {
   placement = "round_robin", health = {heartbeat_ms = 200, agent_lost_ms = 20000, agent_dead_ms = 60000}}}
 local entry, worker = c.entries[1], c.workers[1]
+-- An agent announces itself before its first check of its endpoint has ended and refuses starts until then.
+await("both agents take tasks", function()
+  return is_ready(worker.settings.caller_address) and is_ready(c.workers[2].settings.caller_address)
+end)
 -- A task that runs keeps the leaving agent there. One starts at each endpoint.
 local long = c:load(2, {run_ms = 8000, deadline_ms = 120000})
 await("a task runs at each endpoint", function()
