--- a/review/standins-2/rig.cc
+++ b/review/standins-2/rig.cc
@@ -394,6 +394,7 @@
     for (const auto& [index, done] : this->running) left.push_back(index);
     for (const std::size_t index : left) this->End(index, how);
     this->holds.clear();
+    this->unanswered.clear();
   }
   this->server->Stop(std::chrono::milliseconds(0));
 }
@@ -432,6 +433,11 @@
     }
   }
   for (const auto& [index, how] : over) this->End(index, how);
+  this->late_orders.remove_if([&](const LateOrder& late) {
+    if (now < late.at) return false;
+    this->CarryOut(late.call, late.order);
+    return true;
+  });
   this->holds.remove_if([&](const Hold& hold) {
     if (this->ended.empty() && now < hold.until) return false;
     hold.respond(this->Lists());
@@ -548,31 +554,39 @@
     return;
   }
   const std::lock_guard lock(this->mutex);
-  const std::uint64_t given = order["fence"].isUInt64() ? order["fence"].asUInt64() : 0;
-  if (given < this->fence) {
-    respond(this->Conflict("fence"));
+  static std::mt19937 random{std::random_device{}()};
+  const double drawn = std::uniform_real_distribution<double>(0, 1)(random);
+  if (drawn < this->options.applied_late) {
+    const auto delay = std::uniform_int_distribution<std::int64_t>(2000, 12000)(random);
+    this->late_orders.push_back({this->Clock() + delay, call, order});
+    this->unanswered.push_back(respond);
     return;
   }
-  this->fence = given;
-  if (call == "run-start") {
-    respond(this->Start(order));
-  } else if (call == "run-stop") {
-    respond(this->Stop(order));
-  } else if (call == "hold") {
-    const std::uint64_t seen = order["seen_upto"].isUInt64() ? order["seen_upto"].asUInt64() : 0;
-    this->ended.remove_if([seen](const Ended& end) { return end.number <= seen; });
-    this->TakeDeadline(order);
-    const std::int64_t wait = order["wait_ms"].isInt64() ? order["wait_ms"].asInt64() : 0;
-    if (wait <= 0 || !this->ended.empty()) {
-      respond(this->Lists());
-    } else {
-      this->holds.push_back({this->Clock() + std::min<std::int64_t>(wait, 2000), respond});
-    }
+  const bool is_hold = call == "hold";
+  const std::int64_t wait = order["wait_ms"].isInt64() ? order["wait_ms"].asInt64() : 0;
+  const HttpResponse response = this->CarryOut(call, order);
+  if (drawn < this->options.applied_late + this->options.lost_answers) {
+    this->unanswered.push_back(respond);
+  } else if (is_hold && response.status == kOk && wait > 0 && this->ended.empty()) {
+    this->holds.push_back({this->Clock() + std::min<std::int64_t>(wait, 2000), respond});
   } else {
-    respond({404, "{}"});
+    respond(response);
   }
 }
 
+HttpResponse Worker::CarryOut(const std::string& call, const Json::Value& order) {
+  const std::uint64_t given = order["fence"].isUInt64() ? order["fence"].asUInt64() : 0;
+  if (given < this->fence) return this->Conflict("fence");
+  this->fence = given;
+  if (call == "run-start") return this->Start(order);
+  if (call == "run-stop") return this->Stop(order);
+  if (call != "hold") return {404, "{}"};
+  const std::uint64_t seen = order["seen_upto"].isUInt64() ? order["seen_upto"].asUInt64() : 0;
+  this->ended.remove_if([seen](const Ended& end) { return end.number <= seen; });
+  this->TakeDeadline(order);
+  return this->Lists();
+}
+
 // Deployment.
 
 Deployment::Deployment(std::string given_repository, std::string given_folder,
@@ -639,6 +653,7 @@
 
 void Deployment::Launch(const std::string& host, const std::string& program,
                         const Json::Value& settings) {
+  const std::lock_guard lock(this->mutex);
   const std::string name = settings["name"].asString();
   const std::string file = this->folder + "/" + name + ".json";
   std::ofstream(file) << Text(settings);
@@ -661,6 +676,7 @@
 }
 
 void Deployment::Signal(const std::string& host, int signal) {
+  const std::lock_guard lock(this->mutex);
   const pid_t pid = this->processes.at(host);
   Record("signal " + std::to_string(signal) + " to the process on " + host);
   kill(pid, signal);
@@ -671,6 +687,7 @@
 }
 
 bool Deployment::HasEnded(const std::string& host) {
+  const std::lock_guard lock(this->mutex);
   const auto found = this->processes.find(host);
   if (found == this->processes.end()) return true;
   if (waitpid(found->second, nullptr, WNOHANG) != found->second) return false;
@@ -691,13 +708,14 @@
 // Callers.
 
 Answer Call(const std::string& address, const std::string& method, const std::string& target,
-            const std::string& host_header, const std::string& body, std::int64_t deadline_ms) {
+            const std::string& host_header, const std::string& body, std::int64_t patience_ms,
+            std::int64_t deadline_ms) {
   HttpSession session(address, 1);
   quetzalvale::OutgoingRequest request{method, target, body};
   if (!host_header.empty()) request.headers["Host"] = host_header;
-  request.headers["X-Deadline-Ms"] = std::to_string(deadline_ms);
+  request.headers["X-Deadline-Ms"] = std::to_string(deadline_ms > 0 ? deadline_ms : patience_ms);
   const auto result =
-      session.SendAndWait(std::move(request), std::chrono::milliseconds(deadline_ms));
+      session.SendAndWait(std::move(request), std::chrono::milliseconds(patience_ms));
   if (const auto* response = std::get_if<HttpResponse>(&result)) {
     return {response->status, response->body};
   }
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -110,6 +110,10 @@
     std::int64_t heartbeat_ms = 1500;
     /// How long after Begin the first status report is sent.
     std::int64_t first_report_ms = 0;
+    /// Share of the orders that are carried out but not answered.
+    double lost_answers = 0;
+    /// Share of the orders that are not answered and carried out 2 to 12 s later.
+    double applied_late = 0;
   };
 
   Worker(Options options, const JobBook& jobs);
@@ -144,6 +148,7 @@
   };
   std::int64_t Clock() const;
   void Handle(const quetzalvale::HttpRequest& request, const quetzalvale::HttpResponder& respond);
+  quetzalvale::HttpResponse CarryOut(const std::string& call, const Json::Value& order);
   quetzalvale::HttpResponse Start(const Json::Value& order);
   quetzalvale::HttpResponse Stop(const Json::Value& order);
   void TakeDeadline(const Json::Value& order);
@@ -168,6 +173,14 @@
   std::list<Ended> ended;
   std::uint64_t last_end = 0;
   std::list<Hold> holds;
+  struct LateOrder {
+    std::int64_t at = 0;
+    std::string call;
+    Json::Value order;
+  };
+  std::list<LateOrder> late_orders;
+  /// Of orders that are never answered: their channels stay open.
+  std::list<quetzalvale::HttpResponder> unanswered;
   std::atomic<bool> draining{false};
   std::atomic<bool> stopping{false};
   std::atomic<std::int64_t> drain_acknowledged{-1};
@@ -218,6 +231,8 @@
   std::string folder;
   Ports ports;
   std::unique_ptr<Store> platform;
+  /// Guards the processes, which scripts stop and start on several threads.
+  std::recursive_mutex mutex;
   std::map<std::string, pid_t> processes;
 };
 
@@ -228,9 +243,11 @@
   std::string body;
 };
 
-/// Sends one request on a channel of its own.
+/// Sends one request on a channel of its own, which is reset after `patience_ms` without a
+/// response. `deadline_ms` is what the caller says it waits; zero: the same.
 Answer Call(const std::string& address, const std::string& method, const std::string& target,
-            const std::string& host_header, const std::string& body, std::int64_t deadline_ms);
+            const std::string& host_header, const std::string& body, std::int64_t patience_ms,
+            std::int64_t deadline_ms = 0);
 
 /// The platform's address for callers: forwards each request to one front.
 struct Queue {
