--- a/review/standins-2/rig.cc
+++ b/review/standins-2/rig.cc
@@ -153,13 +153,22 @@
 
 // Store.
 
-Store::Store(std::string address)
+Store::Store(const std::string& address, const std::string& front_address)
     : server(
           address, [] { return kMaxBody; },
           [this](const HttpRequest& request, const HttpResponder& respond) {
             this->Handle(request, respond);
+          }),
+      front_server(
+          front_address, [] { return kMaxBody; },
+          [this](const HttpRequest& request, const HttpResponder& respond) {
+            if (this->fronts_turned_away) {
+              respond({503, "{}"});
+            } else {
+              this->Handle(request, respond);
+            }
           }) {
-  const std::string problem = this->server.Start();
+  const std::string problem = this->server.Start() + this->front_server.Start();
   if (!problem.empty()) throw std::runtime_error("the store cannot listen: " + problem);
   this->timer = std::thread([this] {
     while (!this->stopping) {
@@ -173,6 +182,7 @@
   this->stopping = true;
   this->timer.join();
   this->server.Stop(std::chrono::milliseconds(0));
+  this->front_server.Stop(std::chrono::milliseconds(0));
 }
 
 void Store::Put(const std::string& table, const std::string& key, const std::string& value) {
@@ -183,11 +193,6 @@
   this->AnswerWaiting();
 }
 
-std::size_t Store::RowsIn(const std::string& table) {
-  const std::lock_guard lock(this->mutex);
-  return this->tables[table].size();
-}
-
 Json::Value Store::RowJson(const std::string& table, const std::string& key, const Row& row) const {
   Json::Value json;
   json["table"] = table;
@@ -215,6 +220,10 @@
   }
   json["ver"] = static_cast<Json::UInt64>(this->version);
   json["now_ms"] = static_cast<Json::Int64>(NowMs());
+  if (std::getenv("RIG_TRACE") != nullptr) {
+    Record("feed " + feed.table + " after " + std::to_string(feed.after) + ": " +
+           Text(json["rows"]));
+  }
   feed.respond(Reply(kOk, json));
   return true;
 }
@@ -232,6 +241,7 @@
   };
   const std::lock_guard lock(this->mutex);
   const std::string call = request.path.size() == 2 ? request.path[1] : "";
+  if (std::getenv("RIG_TRACE") != nullptr) Record("store " + request.target + " " + request.body);
   if (call == "rows-get") {
     Json::Value json;
     json["rows"] = Json::Value(Json::arrayValue);
@@ -595,8 +605,9 @@
   std::vector<std::string> all = hosts;
   all.push_back(kPlatformHost);
   const int base = FreeBase(all);
-  this->ports = {base, base + 1, base + 2, base + 3, base + 5, base + 6};
-  this->platform = std::make_unique<Store>(At(kPlatformHost, this->ports.store));
+  this->ports = {base, base + 1, base + 2, base + 3, base + 5, base + 6, base + 7};
+  this->platform = std::make_unique<Store>(At(kPlatformHost, this->ports.store),
+                                           At(kPlatformHost, this->ports.front_store));
 }
 
 Deployment::~Deployment() {
@@ -625,7 +636,7 @@
   settings["inner_ports"].append(this->ports.inner + 1);
   settings["processor_share"] = 0.25;
   settings["processor_speed"] = 1;
-  settings["store_address"] = At(kPlatformHost, this->ports.store);
+  settings["store_address"] = At(kPlatformHost, this->ports.front_store);
   settings["ready_address"] = this->Ready(host);
   settings["caller_address"] = this->Caller(host);
   settings["longest_lease_ms"] = kHoldMaxMs;
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -53,10 +53,12 @@
 /// The platform's metadata store: rows only.
 class Store {
  public:
-  Store(std::string address);
+  /// The fronts call at `front_address`, the other machines at `address`.
+  Store(const std::string& address, const std::string& front_address);
   ~Store();
   void Put(const std::string& table, const std::string& key, const std::string& value);
-  std::size_t RowsIn(const std::string& table);
+  /// Whether the fronts get 503 from now on, while the other machines are served.
+  void TurnFrontsAway(bool away) { this->fronts_turned_away = away; }
 
  private:
   struct Row {
@@ -79,8 +81,10 @@
   std::map<std::string, std::map<std::string, Row>> tables;
   std::uint64_t version = 1;
   std::list<Waiting> waiting;
+  std::atomic<bool> fronts_turned_away{false};
   std::atomic<bool> stopping{false};
   quetzalvale::HttpServer server;
+  quetzalvale::HttpServer front_server;
   std::thread timer;
 };
 
@@ -200,6 +204,8 @@
   int inner = 0;
   int app = 0;
   int store = 0;
+  /// Where the fronts reach the store.
+  int front_store = 0;
 };
 
 /// A deployment on loopback addresses. Ends its processes when it is destroyed.
