--- a/review/standins-2/rig.cc
+++ b/review/standins-2/rig.cc
@@ -751,7 +751,8 @@
   Json::Value config;
   config["version"] = static_cast<Json::UInt64>(version);
   const std::pair<const char*, const std::string&> kinds[] = {{"pallet-quote", queue.prefix},
-                                                              {"stock-check", queue.quick_prefix}};
+                                                              {"stock-check", queue.quick_prefix},
+                                                              {"slot-booking", queue.slot_prefix}};
   for (const auto& [name, prefix] : kinds) {
     Json::Value route;
     route["name"] = name;
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -262,12 +262,14 @@
   std::string prefix = "/pq7/";
   /// Of the queue stock-check.
   std::string quick_prefix = "/sc4/";
+  /// Of the queue slot-booking.
+  std::string slot_prefix = "/sb9/";
 };
 
 /// The body of a job of one step with best_effort.
 std::string JobBody(int count, int cpu, int mem_mb, std::int64_t est_ms);
 
-/// Writes op/config with the two queues of the service.
+/// Writes op/config with the three queues of the service.
 void PutConfig(Store& store, std::uint64_t version, const Queue& queue, std::int64_t timeout_ms,
                double stretch, std::int64_t slo_ms);
 
