--- a/review/standins-2/explore.cc
+++ b/review/standins-2/explore.cc
@@ -67,9 +67,12 @@
     options.speed = host == kSides[0] ? 0.55 : 1.2;
     options.lost_answers = static_cast<double>(Env("LOST", 0)) / 1000;
     options.applied_late = static_cast<double>(Env("LATE", 0)) / 1000;
-    workers[host] = std::make_unique<rig::Worker>(options, jobs);
+    workers.at(host) = std::make_unique<rig::Worker>(options, jobs);
   };
-  for (const auto& host : kSides) begin(host, false);
+  for (const auto& host : kSides) {
+    workers[host] = nullptr;
+    begin(host, false);
+  }
   rig::SleepMs(2500);
 
   std::atomic<bool> over{false};
@@ -111,58 +114,64 @@
     });
   }
 
-  std::vector<std::thread> helpers;
-  std::map<std::string, std::int64_t> busy_until;
   const std::int64_t end = rig::NowMs() + length;
-  std::mutex process_mutex;
-  while (rig::NowMs() < end) {
-    rig::SleepMs(draw(gap / 2, gap * 3 / 2));
-    const bool side = draw(0, 2) > 0;
-    const std::string host = side
-                                 ? kSides[static_cast<std::size_t>(draw(0, std::ssize(kSides) - 1))]
-                                 : kFronts[static_cast<std::size_t>(draw(0, 1))];
-    const int kind = static_cast<int>(draw(0, side ? 4 : 2));
-    if (rig::NowMs() < busy_until[host] || (events >> kind & 1) == 0) continue;
-    const auto restart = [&] {
-      const std::lock_guard lock(process_mutex);
-      side ? site.StartSide(host, names[host]) : site.StartFront(host, names[host]);
-    };
-    if (kind == 0) {
-      site.Signal(host, SIGTERM);
-      busy_until[host] = rig::NowMs() + 8000;
-      const std::int64_t kill_at = rig::NowMs() + 6000;
-      while (!site.HasEnded(host) && rig::NowMs() < kill_at) {
-        if (draw(0, 200) == 0) break;
-        rig::SleepMs(5);
+  std::mutex gone_mutex;
+  std::vector<std::thread> troubles;
+  std::vector<std::string> hosts = kFronts;
+  hosts.insert(hosts.end(), kSides.begin(), kSides.end());
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    troubles.emplace_back([&, i] {
+      const std::string host = hosts[i];
+      const bool side = i >= kFronts.size();
+      std::mt19937 own(static_cast<unsigned>(seed * 7919 + static_cast<std::int64_t>(i)));
+      const auto pick = [&own](std::int64_t from, std::int64_t to) {
+        return std::uniform_int_distribution<std::int64_t>(from, to)(own);
+      };
+      const auto restart = [&] {
+        side ? site.StartSide(host, names.at(host)) : site.StartFront(host, names.at(host));
+      };
+      const auto end_life = [&] {
+        const std::lock_guard lock(gone_mutex);
+        gone.emplace_back(workers.at(host)->Runs(), workers.at(host)->DrainAcknowledged());
+        workers.at(host).reset();
+      };
+      while (rig::NowMs() < end) {
+        rig::SleepMs(pick(gap / 2, gap * 3 / 2));
+        const int kind = static_cast<int>(pick(0, side ? 4 : 2));
+        if ((events >> kind & 1) == 0) continue;
+        if (kind == 0) {
+          site.Signal(host, SIGTERM);
+          const std::int64_t kill_at = rig::NowMs() + 6000;
+          while (!site.HasEnded(host) && rig::NowMs() < kill_at) rig::SleepMs(5);
+          if (!site.HasEnded(host)) site.Signal(host, SIGKILL);
+          rig::SleepMs(pick(50, 400));
+          restart();
+        } else if (kind == 1) {
+          site.Signal(host, SIGKILL);
+          rig::SleepMs(pick(50, 1500));
+          restart();
+        } else if (kind == 2) {
+          site.Signal(host, SIGSTOP);
+          rig::SleepMs(pick(200, 3000));
+          site.Signal(host, SIGCONT);
+        } else {
+          if (kind == 3) {
+            workers.at(host)->Crash();
+          } else {
+            workers.at(host)->Drain();
+            rig::SleepMs(pick(500, 3500));
+            workers.at(host)->Leave();
+          }
+          end_life();
+          rig::SleepMs(pick(10, 1500));
+          const std::lock_guard lock(gone_mutex);
+          begin(host, pick(0, 1) == 0);
+        }
+        rig::SleepMs(500);
       }
-      if (!site.HasEnded(host)) site.Signal(host, SIGKILL);
-      rig::SleepMs(draw(50, 400));
-      restart();
-      busy_until[host] = rig::NowMs() + 500;
-    } else if (kind == 1) {
-      site.Signal(host, SIGKILL);
-      rig::SleepMs(draw(50, 1500));
-      restart();
-    } else if (kind == 2) {
-      site.Signal(host, SIGSTOP);
-      rig::SleepMs(draw(200, 3000));
-      site.Signal(host, SIGCONT);
-    } else if (kind == 3) {
-      workers[host]->Crash();
-      gone.emplace_back(workers[host]->Runs(), workers[host]->DrainAcknowledged());
-      workers[host].reset();
-      rig::SleepMs(draw(10, 1500));
-      begin(host, draw(0, 1) == 0);
-    } else {
-      workers[host]->Drain();
-      rig::SleepMs(draw(500, 3500));
-      workers[host]->Leave();
-      gone.emplace_back(workers[host]->Runs(), workers[host]->DrainAcknowledged());
-      workers[host].reset();
-      rig::SleepMs(draw(10, 1000));
-      begin(host, draw(0, 1) == 0);
-    }
+    });
   }
+  for (std::thread& trouble : troubles) trouble.join();
   over = true;
   for (std::thread& caller : callers) caller.join();
   rig::SleepMs(1000);
