--- a/review/standins-2/explore.cc
+++ b/review/standins-2/explore.cc
@@ -30,6 +30,7 @@
 
 struct Attempt {
   int status = 0;
+  bool failed = false;
   std::int64_t answered = 0;
 };
 
@@ -90,7 +91,7 @@
         const std::string job = rig::JobName(++number);
         const int count = static_cast<int>(pick(1, 8));
         const std::int64_t work = pick(0, 2) == 0 ? pick(700, 1400) : pick(60, 400);
-        jobs.Add(job, {1600, work});
+        jobs.Add(job, {1600, work, static_cast<double>(Env("FAILS", 0)) / 1000});
         std::vector<Attempt> attempts;
         for (int attempt = 0; attempt < 4; ++attempt) {
           const std::string& front = kFronts[static_cast<std::size_t>(pick(0, 1))];
@@ -101,7 +102,8 @@
               rig::Call(site.Caller(front), "POST", queue.prefix + job, queue.host,
                         rig::JobBody(count, 1600, 64, work), patience, deadline);
           rig::Record("answer " + job + " " + std::to_string(answer.status) + " " + answer.body);
-          attempts.push_back({answer.status, rig::NowMs()});
+          attempts.push_back(
+              {answer.status, answer.body.find("failed") != std::string::npos, rig::NowMs()});
           if (answer.status != 0 && answer.status != 502 && answer.status != 504) break;
           rig::SleepMs(1300);
         }
@@ -210,13 +212,25 @@
     ++statuses[attempts.back().status];
     const bool rejected = std::ranges::all_of(
         attempts, [](const Attempt& one) { return one.status == 503 || one.status == 429; });
+    if (attempts.back().status == 200 && attempts.back().failed) {
+      std::ptrdiff_t most = 0;
+      for (int index = 0; index < count; ++index) {
+        const auto& list = by_task[job + ".0.0." + std::to_string(index)];
+        most = std::max(most, std::ranges::count(list, "failed", &rig::Run::how));
+      }
+      ++statuses[-static_cast<int>(most)];
+      if (most < 2) {
+        ++broken;
+        rig::Record("FAILED " + job + " after " + std::to_string(most) + " failed runs of a task");
+      }
+    }
     for (int index = 0; index < count; ++index) {
       const auto found = by_task.find(job + ".0.0." + std::to_string(index));
       if (rejected && found != by_task.end()) {
         ++broken;
         rig::Record("REFUSED " + found->first);
       }
-      if (attempts.back().status == 200) {
+      if (attempts.back().status == 200 && !attempts.back().failed) {
         const bool done =
             found != by_task.end() && std::ranges::any_of(found->second, [&](const rig::Run& run) {
               return run.how == "done" && run.ended <= attempts.back().answered + 1;
--- a/review/standins-2/rig.cc
+++ b/review/standins-2/rig.cc
@@ -437,7 +437,7 @@
   std::vector<std::pair<std::size_t, std::string>> over;
   for (const auto& [index, done] : this->running) {
     if (now >= done) {
-      over.emplace_back(index, "done");
+      over.emplace_back(index, this->runs[index].own_end);
     } else if (now >= this->lease_until) {
       over.emplace_back(index, "lapsed");
     }
@@ -528,7 +528,10 @@
     return this->Conflict("room");
   }
   this->TakeDeadline(order);
-  this->runs.push_back({task, number, this->options.id, NowMs(), -1, ""});
+  static std::mt19937 random{std::random_device{}()};
+  const bool fails = std::uniform_real_distribution<double>(0, 1)(random) < truth.fails;
+  this->runs.push_back(
+      {task, number, this->options.id, NowMs(), -1, "", fails ? "failed" : "done"});
   this->running[this->runs.size() - 1] =
       this->Clock() + static_cast<std::int64_t>(truth.work_ms / this->options.speed);
   Record("run-start " + task + " run=" + std::to_string(number) + " at " + this->options.id);
--- a/review/standins-2/rig.h
+++ b/review/standins-2/rig.h
@@ -37,6 +37,8 @@
 struct TaskTruth {
   int cpu = 1000;
   std::int64_t work_ms = 100;
+  /// Share of the runs that end `failed` by the task's own fault.
+  double fails = 0;
 };
 
 /// The jobs that callers have submitted, by name.
@@ -96,6 +98,8 @@
   std::int64_t started = 0;
   std::int64_t ended = -1;
   std::string how;
+  /// How it ends if nothing ends it before.
+  std::string own_end = "done";
 };
 
 /// One life of a worker with `admission_control`, beside the agent on its machine.
