--- a/review/standins-2/explore.cc
+++ b/review/standins-2/explore.cc
@@ -46,7 +46,8 @@
   };
   const rig::Queue queue;
   rig::JobBook jobs;
-  rig::PutConfig(site.store(), 7, queue, deadline, 2.5, 60);
+  rig::PutConfig(site.store(), 7, queue, deadline, static_cast<double>(Env("STRETCH", 25)) / 10,
+                 60);
   std::map<std::string, std::string> names;
   for (const auto& host : kFronts) {
     names[host] = "front-" + host.substr(8);
