--- a/review/standins-2/case_7.cc
+++ b/review/standins-2/case_7.cc
@@ -49,6 +49,8 @@
     }
   });
   rig::SleepMs(6000);
+  // A change of the config is acknowledged, and the final fault follows.
+  rig::PutConfig(site.store(), 8, queue, kDeadlineMs, 1.6, 60);
   const std::int64_t fault = rig::NowMs();
   if (!rig::Calm()) {
     site.store().TurnFrontsAway(true);
