Stop the runs of every repeatable job that its entry gives up

Change: FailJob decides in one place that the runs of a repeatable job are stopped, whatever the reason; callers can no longer ask for less. Measured: the new test failed before the change (no withdrawal was sent) and passes with it; core tests pass.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -221,7 +221,9 @@
   // Answers (entry_core_jobs.cc).
   void Deliver(const Waiter& waiter, Answer answer);
   void Refuse(const Waiter& waiter, const Refusal& refusal, const std::optional<Ticket>& ticket);
-  void FailJob(Job& job, std::string reason, std::string message, bool stop_running);
+  /// Gives the job up. Its running tasks are stopped if `stop_requested` is set or the job is
+  /// repeatable.
+  void FailJob(Job& job, std::string reason, std::string message, bool stop_requested);
   void DropTask(Job& job, std::uint32_t index);
   /// Answers the job if its answer is known. May delete the job.
   void TryAnswer(Job& job);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -77,7 +77,10 @@
   this->Deliver(waiter, std::move(answer));
 }
 
-void EntryCore::FailJob(Job& job, std::string reason, std::string message, bool stop_running) {
+void EntryCore::FailJob(Job& job, std::string reason, std::string message, bool stop_requested) {
+  // The caller of a repeatable job submits it again soon after the answer, so whatever the reason,
+  // none of its runs may go on.
+  const bool stop_running = stop_requested || job.IsRepeatable();
   if (job.answered && !stop_running) {
     this->EraseIfEnded(job.id);
     return;
@@ -260,7 +263,7 @@
   this->FailJob(*job, "deadline",
                 "the job's deadline passed before all tasks ended; submit new work with a longer "
                 "deadline or later",
-                job->IsRepeatable());
+                false);
 }
 
 bool EntryCore::MayUse(const Job& job, const Agent& agent) {
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -355,13 +355,10 @@
   const std::string problem = "task " + std::to_string(index) + " failed: " + outcome.reason;
   if (outcome.reason == kOutcomeUnknown) {
     this->FailJob(*job, "outcome_unknown", problem, false);
-  } else if (!job->IsRepeatable()) {
+  } else if (!job->IsRepeatable() || task.failures >= job->attempts) {
     this->FailJob(*job, "task_failed", problem, false);
-  } else if (task.failures >= job->attempts) {
-    // The other tasks of the job are of no use any more.
-    this->FailJob(*job, "task_failed", problem, true);
   } else {
-    this->FailJob(*job, "deadline", problem + "; no time is left for another attempt", true);
+    this->FailJob(*job, "deadline", problem + "; no time is left for another attempt", false);
   }
 }
 
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -204,6 +204,32 @@
   EXPECT_TRUE(this->Find<SendWithdraw>()->message.stop_running);
 }
 
+// A job was given up for want of agents while some of its tasks ran on the agent that was leaving.
+// The runs went on beside those of the copy that the caller submitted to another entry.
+TEST_F(RepeatableJobsTest, StopsRunsOfAJobThatIsGivenUpForWantOfAgents) {
+  Submission submission;
+  submission.service = "s";
+  submission.name = "00000000000000a1";
+  submission.kind = "k";
+  submission.tasks.resize(2);
+  this->Send(JobSubmitted{1, submission});
+  const StartRequest start = this->Find<SendStart>()->message;
+  ASSERT_EQ(start.items.size(), 2U);
+  StartReply reply;
+  reply.agent = start.agent;
+  reply.decisions = {StartRefusal::kNone, StartRefusal::kLeaving};
+  reply.load.free_slots = 7;
+  this->Send(StartReplied{start.agent, start.channel_sequence, reply});
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, "no_agents");
+  EXPECT_FALSE(this->FindAnswer()->not_run);
+  const auto* withdraw = this->Find<SendWithdraw>();
+  ASSERT_NE(withdraw, nullptr);
+  EXPECT_TRUE(withdraw->message.stop_running);
+  ASSERT_EQ(withdraw->message.items.size(), 1U);
+  EXPECT_EQ(withdraw->message.items[0].task, start.items[0].task);
+}
+
 TEST_F(RepeatableJobsTest, RetriesFailedTaskOnAnotherEndpointUntilAttemptsAreUsedUp) {
   this->AddAgent(kOtherAgent, "b");
   this->Submit(1);
