Callers that state how long they wait are not limited by the route's time

Change: the caller's own time bounds the answer; the route's time bounds callers that state none. Jobs can now last for seconds, so a leaving entry takes, in the second half of its grace time, only jobs that must be answered before it ends, and waits for jobs in progress until shortly before the kill.

--- a/tests/adapter/job_api_test.cc
+++ b/tests/adapter/job_api_test.cc
@@ -100,5 +100,27 @@
   EXPECT_LE(*time, this->runtime.Time().Now());
 }
 
+// The smaller of both limits was taken, so a run of 1,600 ms was broken off for a caller that
+// waited for 2,300 ms, and its answer was never given.
+TEST(JobTimeLimitTest, CallersThatSayHowLongTheyWaitAreNotLimitedByTheRoute) {
+  constexpr Milliseconds kRouteTimeout{1500};
+  EXPECT_EQ(JobTimeLimit(Milliseconds(2300), kRouteTimeout), Milliseconds(2300));
+  EXPECT_EQ(JobTimeLimit(Milliseconds(300), kRouteTimeout), Milliseconds(300));
+  EXPECT_EQ(JobTimeLimit(std::nullopt, kRouteTimeout), kRouteTimeout);
+}
+
+// A job taken shortly before the process ends would be lost with it.
+TEST_F(JobApiTest, LeavingEntryTakesOnlyJobsThatItCanAnswer) {
+  const Time now = this->runtime.Time().Now();
+  this->api.Close(now + std::chrono::seconds(1));
+  const HttpResponse late = this->SubmitHandedOn(now + kRelayAcceptWindow);
+  EXPECT_EQ(late.status, 503);
+  EXPECT_NE(late.body.find("leaving"), std::string::npos) << late.body;
+  this->api.Close(now + std::chrono::seconds(60));
+  const HttpResponse taken =
+      this->SubmitHandedOn(this->runtime.Time().Now() + kRelayAcceptWindow);
+  EXPECT_EQ(taken.body.find("leaving"), std::string::npos) << taken.body;
+}
+
 }  // namespace
 }  // namespace quetzalvale::platform
