--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "protocol/codec.h"
 #include "settings/service_document.h"
 
@@ -48,6 +50,33 @@
   EXPECT_EQ(kind("not json"), ErrorKind::kMalformed);
 }
 
+// The whole document was refused, so the entry kept its old kinds beside the new routes and answered
+// their jobs 503.
+TEST(WireTest, NamesOfQueuesThatAreNoNamesOfKindsAreReplaced) {
+  const auto decoded = DecodeOperatorConfiguration(
+      R"({"version":7,"routes":[
+        {"name":"r-1","host":"a","prefix":"/p/","service":"s"},
+        {"name":"r-1","host":"a","prefix":"/q/","service":"s"},
+        {"name":"r-1","host":"a","prefix":"/q/","service":"s"},
+        {"name":"r-1","host":"a","prefix":"/q/","service":"s"},
+        {"name":"lagerf\u00f6rd 1","host":"a","prefix":"/r/","service":"s"},
+        {"name":"r-1","host":"a","prefix":"/s/","service":"t"}]})");
+  ASSERT_TRUE(IsOk(decoded));
+  const auto& configuration = std::get<OperatorConfiguration>(decoded);
+  ASSERT_EQ(configuration.routes.size(), 6U);
+  EXPECT_EQ(configuration.routes[0].name, "r-1");
+  EXPECT_EQ(configuration.routes[5].name, "r-1");
+  std::set<std::string> names;
+  for (std::size_t i = 0; i < 5; ++i) {
+    names.insert(configuration.routes[i].name);
+  }
+  EXPECT_EQ(names.size(), 5U);
+  for (const auto& [service, document] : ServiceDocuments(configuration, Milliseconds(1000), 3)) {
+    const auto parsed = DecodeServiceDocument(document, service);
+    EXPECT_TRUE(IsOk(parsed)) << service << ": " << GetError(parsed).message;
+  }
+}
+
 TEST(WireTest, ConfigurationBecomesValidServiceDocuments) {
   const auto decoded = DecodeOperatorConfiguration(
       R"({"version":7,"limits":{"max_body_bytes":262144},"routes":[
