A repeatable job that is given up is answered "not run" when that can be proven

Change: while no run is known, the answer waits up to 50 ms, and never past the deadline, for the agents' reports on the withdrawal; a report of a run ends the wait at once. The answer is then 503 with Retry-After if all tasks are proven not to have run. Measured: core tests pass, the new ones fail without the change (immediate answer).

--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -11,6 +11,11 @@
 /// How long the answer of a failed job is delayed to obtain proof that none of its tasks ran.
 constexpr Milliseconds kNotRunProofTimeout{500};
 
+/// The same for a repeatable job: several round trips to an agent. Its caller may submit the job
+/// again right after "not run", but only 1,300 ms after an answer that leaves it open, and a caller
+/// of work that must not be repeated never.
+constexpr Milliseconds kRepeatableProofTimeout{50};
+
 /// Returns the task that ended last, or nullptr if none has ended.
 const Task* LastEnded(const Job& job) {
   const auto last = std::ranges::max_element(job.tasks, {}, &Task::ended_at);
@@ -86,8 +91,10 @@
     return;
   }
   if (!job.failure && !job.answered) {
-    job.failure =
-        Job::Failure{std::move(reason), std::move(message), this->now + kNotRunProofTimeout};
+    const Time proof_deadline = job.IsRepeatable()
+                                    ? std::min(this->now + kRepeatableProofTimeout, job.deadline)
+                                    : this->now + kNotRunProofTimeout;
+    job.failure = Job::Failure{std::move(reason), std::move(message), proof_deadline};
     this->jobs.SetDue(job, job.failure->proof_deadline);
   }
   for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
@@ -157,7 +164,7 @@
            task.state == JobTaskState::kFailed || task.state == JobTaskState::kUnknown;
   };
   const bool any_ran = std::ranges::any_of(job.tasks, ran);
-  if (!any_ran && job.open > 0 && !job.IsRepeatable() && this->now < job.failure->proof_deadline) {
+  if (!any_ran && job.open > 0 && this->now < job.failure->proof_deadline) {
     return;
   }
   answer.status = AnswerStatus::kFailed;
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -50,8 +50,8 @@
   EXPECT_EQ(kind("not json"), ErrorKind::kMalformed);
 }
 
-// The whole document was refused, so the entry kept its old kinds beside the new routes and answered
-// their jobs 503.
+// The whole document was refused, so the entry kept its old kinds beside the new routes and
+// answered their jobs 503.
 TEST(WireTest, NamesOfQueuesThatAreNoNamesOfKindsAreReplaced) {
   const auto decoded = DecodeOperatorConfiguration(
       R"({"version":7,"routes":[
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -204,6 +204,39 @@
   EXPECT_TRUE(this->Find<SendWithdraw>()->message.stop_running);
 }
 
+// A job whose tasks only waited in queues of agents was answered 504, so its caller could not tell
+// that nothing ran. The answer waits for the agents' reports, but not for long.
+TEST_F(RepeatableJobsTest, JobThatIsGivenUpIsAnsweredAsNotRunOnceThatIsProven) {
+  for (const bool runs : {false, true}) {
+    const RequestId request = runs ? 2 : 1;
+    this->Submit(request, "", std::nullopt, runs ? "00000000000000a2" : "00000000000000a1");
+    const StartRequest start = this->AcceptLastStart();
+    WithdrawReply reply;
+    reply.agent = kAgent;
+    reply.load.free_slots = 8;
+    reply.reports = {TaskReport{start.items[0].task,
+                                runs ? TaskStatus::kRunning : TaskStatus::kNotRun, std::nullopt}};
+    this->Send(JobCancelled{90, start.items[0].task.ticket});
+    const auto* withdraw = this->Find<SendWithdraw>();
+    ASSERT_NE(withdraw, nullptr);
+    EXPECT_EQ(this->FindAnswer(), nullptr);
+    this->Send(WithdrawReplied{kAgent, withdraw->message.items, reply});
+    ASSERT_NE(this->FindAnswer(), nullptr);
+    EXPECT_EQ(this->FindAnswer()->not_run, !runs);
+  }
+}
+
+TEST_F(RepeatableJobsTest, AnswerOfAJobThatIsGivenUpWaitsOnlyShortlyForProof) {
+  this->Submit(1);
+  const StartRequest start = this->AcceptLastStart();
+  this->Send(JobCancelled{90, start.items[0].task.ticket});
+  EXPECT_EQ(this->FindAnswer(), nullptr);
+  this->now += Milliseconds(51);
+  this->Send(Tick{});
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_FALSE(this->FindAnswer()->not_run);
+}
+
 // A job was given up for want of agents while some of its tasks ran on the agent that was leaving.
 // The runs went on beside those of the copy that the caller submitted to another entry.
 TEST_F(RepeatableJobsTest, StopsRunsOfAJobThatIsGivenUpForWantOfAgents) {
@@ -220,14 +253,16 @@
   reply.decisions = {StartRefusal::kNone, StartRefusal::kLeaving};
   reply.load.free_slots = 7;
   this->Send(StartReplied{start.agent, start.channel_sequence, reply});
-  ASSERT_NE(this->FindAnswer(), nullptr);
-  EXPECT_EQ(this->FindAnswer()->reason, "no_agents");
-  EXPECT_FALSE(this->FindAnswer()->not_run);
   const auto* withdraw = this->Find<SendWithdraw>();
   ASSERT_NE(withdraw, nullptr);
   EXPECT_TRUE(withdraw->message.stop_running);
   ASSERT_EQ(withdraw->message.items.size(), 1U);
   EXPECT_EQ(withdraw->message.items[0].task, start.items[0].task);
+  this->now += Milliseconds(51);
+  this->Send(Tick{});
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, "no_agents");
+  EXPECT_FALSE(this->FindAnswer()->not_run);
 }
 
 TEST_F(RepeatableJobsTest, RetriesFailedTaskOnAnotherEndpointUntilAttemptsAreUsedUp) {
