Return the queue of a leaving agent to the owners at once

Cause: on LeaveRequested the agent refused new starts but kept its queue, and StartQueuedTasks did not consider the leave.

Change: while it leaves, the agent finishes queued tasks as not run instead of starting them, under the same guard as the refusal of new starts.

The entry's side, a returned task that is placed elsewhere at once, already worked and has a test now.

--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -126,8 +126,12 @@
   bool IsPastAcceptUntil(const StartRequest& request) const;
   /// Returns when the owner made the request. It may have waited here for long.
   Time DecisionTime(const StartRequest& request) const;
-  /// Dispatches the queued tasks that may start, oldest first.
+  /// Dispatches the queued tasks that may start, oldest first. A leaving agent returns them to
+  /// their owners instead, because its worker may start nothing soon after it announced that it
+  /// drains.
   void StartQueuedTasks();
+  /// Returns all queued tasks to their owners, as not run.
+  void ReturnQueuedTasks();
   /// Whether a task queued behind `ahead` may start now: a slot and its declared resources are
   /// free, and it does not delay a task ahead that was already bypassed kMaxBypasses times.
   bool MayStart(const Resources& task, std::span<const TaskKey> ahead) const;
--- a/src/core/agent/agent_core_endpoint.cc
+++ b/src/core/agent/agent_core_endpoint.cc
@@ -138,9 +138,7 @@
   if (was_up) {
     this->AddLogEvent(2011, "endpoint_down", "queued=" + std::to_string(this->store.Queued()));
   }
-  for (const auto& task : this->store.QueuedTasks()) {
-    this->FinishNotRun(task, kNotRun);
-  }
+  this->ReturnQueuedTasks();
 }
 
 void AgentCore::CheckEndpointIfDue() {
--- a/src/core/agent/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -200,6 +200,10 @@
 }
 
 void AgentCore::StartQueuedTasks() {
+  if (this->guards.refuses_starts(this->leaving)) {
+    this->ReturnQueuedTasks();
+    return;
+  }
   if (!this->endpoint.IsUp()) {
     return;
   }
@@ -217,6 +221,12 @@
   }
 }
 
+void AgentCore::ReturnQueuedTasks() {
+  for (const auto& task : this->store.QueuedTasks()) {
+    this->FinishNotRun(task, kNotRun);
+  }
+}
+
 bool AgentCore::MayStart(const Resources& task, std::span<const TaskKey> ahead) const {
   if (!this->guards.fits_now(this->resources, task)) {
     return false;
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -229,6 +229,61 @@
   EXPECT_TRUE(Select<Departed>(this->Handle(Tick{}, 1000)).empty()) << "departs once";
 }
 
+// Guards against tasks that start on a draining worker once an earlier run ends there, seconds
+// after its drain was acknowledged (review/8).
+TEST_F(AgentCoreTest, LeavingReturnsQueuedTasksAsNotRunAtOnce) {
+  this->Start(1, {MakeTask(1, 0), MakeTask(1, 1), MakeTask(1, 2), MakeTask(1, 3)});
+  const auto actions = this->Handle(LeaveRequested{});
+  const auto sent = Select<SendOutcomes>(actions);
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_TRUE(sent[0].message.load.leaving);
+  ASSERT_EQ(sent[0].message.outcomes.size(), 2U);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    EXPECT_EQ(sent[0].message.outcomes[i].task, MakeTask(1, 2 + i));
+    EXPECT_EQ(sent[0].message.outcomes[i].reason, kNotRun);
+  }
+  EXPECT_TRUE(Select<StopOnEndpoint>(actions).empty()) << "runs in progress may end";
+  EXPECT_TRUE(Select<StartOnEndpoint>(this->Finish(MakeTask(1, 0))).empty());
+  EXPECT_TRUE(Select<StartOnEndpoint>(this->Handle(Tick{}, 1000)).empty());
+}
+
+// Accepted, but held back because the worker does not respond: must not start when it responds
+// again.
+TEST_F(AgentCoreTest, LeavingReturnsTasksThatWaitForTheEndpoint) {
+  this->Start(1, {MakeTask(1)});
+  this->Start(2, {MakeTask(2), MakeTask(3), MakeTask(4)});
+  this->Handle(EndpointRefused{MakeTask(1), "unreachable"});
+  const auto sent = Select<SendOutcomes>(this->Handle(LeaveRequested{}));
+  const auto acknowledged =
+      this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, OutcomesReply{kOwnerId, 0}});
+  std::vector<TaskKey> returned;
+  for (const auto& batches : {sent, Select<SendOutcomes>(acknowledged)}) {
+    for (const auto& batch : batches) {
+      for (const Outcome& outcome : batch.message.outcomes) {
+        EXPECT_EQ(outcome.reason, kNotRun);
+        returned.push_back(outcome.task);
+      }
+    }
+  }
+  EXPECT_EQ(returned, (std::vector<TaskKey>{MakeTask(3), MakeTask(4)}));
+  EXPECT_TRUE(Select<StartOnEndpoint>(this->Handle(EndpointChecked{true})).empty());
+}
+
+// A start that the worker refuses after the leave goes back to its owner and takes no place here.
+TEST_F(AgentCoreTest, StartRefusedByTheEndpointIsNotRepeatedWhileLeaving) {
+  this->Start(1, {MakeTask(1), MakeTask(2), MakeTask(3)});
+  this->Handle(LeaveRequested{});
+  this->Handle(OutcomesReplied{kOwnerId, {MakeTask(3)}, OutcomesReply{kOwnerId, 0}});
+  const auto refused = this->Handle(EndpointRefused{MakeTask(1), "draining"});
+  ASSERT_EQ(Select<SendOutcomes>(refused).size(), 1U);
+  EXPECT_EQ(Select<SendOutcomes>(refused)[0].message.outcomes.at(0).reason, kNotRun);
+  EXPECT_TRUE(Select<StartOnEndpoint>(refused).empty());
+  this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, OutcomesReply{kOwnerId, 0}});
+  const auto again = this->Start(2, {MakeTask(1), MakeTask(3)});
+  EXPECT_EQ(this->StartReplyOf(again).decisions,
+            (Decisions{StartRefusal::kLeaving, StartRefusal::kLeaving}));
+}
+
 TEST_F(AgentCoreTest, FetchesNewerConfigurationOnce) {
   AnnounceReply reply;
   reply.configuration_version = 3;
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -302,6 +302,33 @@
 
 // A start sent by an entry that then froze may arrive seconds later. The start carries a time limit
 // on the agent's clock, after which the agent refuses it.
+// Guards against tasks of a leaving agent's queue that wait at the entry. The agent may return them
+// before its acceptance of the start has arrived.
+TEST_F(RepeatableJobsTest, TaskReturnedByALeavingAgentRunsElsewhereAtOnce) {
+  this->Submit(1);
+  const StartRequest start = this->Find<SendStart>()->message;
+  this->AddAgent(kOtherAgent, "b");
+  OutcomesRequest returned;
+  returned.agent = kAgent;
+  returned.owner = kEntry;
+  returned.load.leaving = true;
+  returned.outcomes = {Outcome{start.items[0].task, false, "not_run", "null", Microseconds(0),
+                               start.channel_sequence}};
+  this->Send(OutcomesReceived{96, returned});
+  ASSERT_NE(this->Find<SendStart>(), nullptr);
+  EXPECT_EQ(this->Find<SendStart>()->message.agent, kOtherAgent);
+  const StartRequest again = this->AcceptLastStart();
+  StartReply late;
+  late.agent = kAgent;
+  late.decisions = {StartRefusal::kNone};
+  late.load.leaving = true;
+  this->Send(StartReplied{kAgent, start.channel_sequence, late});
+  EXPECT_EQ(this->Find<SendWithdraw>(), nullptr);
+  this->ReportOutcome(again, true);
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->status, AnswerStatus::kComplete);
+}
+
 TEST_F(RepeatableJobsTest, StartsCarryTheTimeUntilWhichTheyAreAccepted) {
   this->now += Milliseconds(100);
   this->Submit(1);
