--- a/tests/policy/run_speed_test.cc
+++ b/tests/policy/run_speed_test.cc
@@ -72,6 +72,49 @@
   EXPECT_GT(this->speed.Speed(this->now), 0.9);
 }
 
+// Guards against long tasks of several jobs that were taken for a slow worker while the runs beside
+// them ended in time.
+TEST_F(RunSpeedTest, LongTasksBesideRunsInTimeDoNotMakeTheWorkerSlow) {
+  this->RunJobs(100, kExpected);
+  for (std::uint64_t job = 1000; job < 1004; ++job) {
+    this->speed.Started(Key(job), kExpected, this->now);
+  }
+  for (int i = 0; i < 7; ++i) {
+    this->RunJobs(4, kExpected);
+    EXPECT_GT(this->speed.Speed(this->now), 0.9) << i;
+  }
+}
+
+TEST_F(RunSpeedTest, SlowdownByFourIsDetectedByTheThirdOverdueRunOfSingleRuns) {
+  this->RunJobs(100, kExpected);
+  for (std::uint64_t job = 1000; job < 1003; ++job) {
+    this->speed.Started(Key(job), kExpected, this->now);
+    this->now += kExpected * 3;
+    if (job < 1002) {
+      EXPECT_GT(this->speed.Speed(this->now), 0.9) << job;
+      this->now += kExpected;
+      this->speed.Ended(Key(job), true, this->now);
+    }
+  }
+  EXPECT_LT(this->speed.Speed(this->now), 0.4);
+}
+
+// Entries stop runs on a slow worker and start them elsewhere; the worker remains slow without
+// them.
+TEST_F(RunSpeedTest, StoppedOverdueRunsRemainEvidence) {
+  this->RunJobs(100, kExpected);
+  for (std::uint64_t job = 1000; job < 1004; ++job) {
+    this->speed.Started(Key(job), kExpected, this->now);
+  }
+  this->now += kExpected * 3;
+  for (std::uint64_t job = 1000; job < 1004; ++job) {
+    this->speed.Ended(Key(job), false, this->now);
+  }
+  EXPECT_LT(this->speed.Speed(this->now), 0.4);
+  this->RunJobs(8, kExpected);
+  EXPECT_GT(this->speed.Speed(this->now), 0.9) << "runs that end in time show its recovery";
+}
+
 // A worker that entries avoid because it was slow gets no runs that could show its recovery.
 TEST_F(RunSpeedTest, ReturnsToTheUsualSpeedWithoutRuns) {
   this->RunJobs(400, kExpected);
