Leave a task on a slow worker if the task itself is long

Cause: MoveTasksIfSlow judged a task by its expected length and the worker's speed only. A task that had run for far longer than even the slow worker needs for its expected length was stopped, to start again elsewhere with its whole length.

Change: a task that has been away for twice that time is not moved. The evidence against the worker itself is the agent's estimate, which needs overdue runs of several jobs.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -257,7 +257,7 @@
   /// Whether an agent in service is near the data of the job's tasks.
   bool IsDataServed(const ServiceState& service, const Job& job) const;
   /// Stops tasks on an agent that has become slow, if they can finish in time elsewhere. They are
-  /// placed again when their end is confirmed.
+  /// placed again when their end is confirmed. Tasks that are long themselves are left to finish.
   void MoveTasksIfSlow(Agent& agent);
   bool IsWorthMoving(const ServiceState& service, const Job& job, const Task& task,
                      const Agent& agent) const;
--- a/src/core/entry/entry_core_speed.cc
+++ b/src/core/entry/entry_core_speed.cc
@@ -21,6 +21,10 @@
 /// Interval at which the tasks on one agent are considered for moving.
 constexpr Milliseconds kMoveCheckInterval{50};
 
+/// A task that has been away for this multiple of the time expected on the slow worker is long
+/// itself, and would be as long elsewhere. The factor of RunSpeed for overdue runs.
+constexpr double kLongTaskFactor = 2;
+
 /// A run that has already taken longer than expected at the present speed is assumed to need this
 /// share of the whole time more.
 constexpr double kOverdueRemainder = 0.5;
@@ -106,6 +110,9 @@
   }
   const Time::duration elapsed = this->now - task.sent_at;
   const Time::duration here = Scale(task.expected, task.run_factor / agent.announce.load.speed);
+  if (elapsed > here * kLongTaskFactor) {
+    return false;
+  }
   const Time::duration remaining = std::max(
       here - elapsed, std::chrono::duration_cast<Time::duration>(here * kOverdueRemainder));
   const bool near_data = this->IsDataServed(service, job);
--- a/tests/core/worker_speed_test.cc
+++ b/tests/core/worker_speed_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "core/entry/entry_core.h"
 
@@ -28,6 +29,7 @@
     kind.target_stretch = 1.6;
     kind.target_slack = Milliseconds(100);
     kind.late_factor = 3;
+    kind.honest_sizes = true;
     configuration->kinds = {kind};
     this->Send(ConfigurationChanged{configuration});
     this->Announced(kSlowing, "slowing", 8);
@@ -49,12 +51,12 @@
     this->Send(HeartbeatReceived{98, {agent, load, 0}});
   }
 
-  StartRequest Submit(RequestId request) {
+  StartRequest Submit(RequestId request, std::vector<TaskSpec> tasks = {TaskSpec()}) {
     Submission submission;
     submission.service = "s";
     submission.name = "00000000000000a" + std::to_string(request);
     submission.kind = "k";
-    submission.tasks.resize(1);
+    submission.tasks = std::move(tasks);
     this->Send(JobSubmitted{request, submission});
     const auto* start = this->Find<SendStart>();
     return start == nullptr ? StartRequest() : start->message;
@@ -63,7 +65,7 @@
   void Accept(const StartRequest& start) {
     StartReply reply;
     reply.agent = start.agent;
-    reply.decisions = {StartRefusal::kNone};
+    reply.decisions.assign(start.items.size(), StartRefusal::kNone);
     reply.load.free_slots = 7;
     this->Send(StartReplied{start.agent, start.channel_sequence, reply});
   }
@@ -128,6 +130,27 @@
   EXPECT_EQ(this->Find<SendWithdraw>(), nullptr);
 }
 
+// Guards against moving a task that runs far longer than even the slow worker needs for its
+// expected length: the task is long, and would be as long elsewhere.
+TEST_F(WorkerSpeedTest, TaskThatIsLongItselfIsNotMovedFromASlowWorker) {
+  constexpr double kSpeed = 0.12;
+  constexpr Milliseconds kShort{50};
+  constexpr Milliseconds kTwiceOnSlowWorker{900};
+  std::vector<TaskSpec> tasks(2);
+  tasks[0].declared_run_time = kShort;
+  tasks[1].declared_run_time = kRun * 2;
+  const StartRequest start = this->Submit(1, tasks);
+  ASSERT_EQ(start.items.size(), 2U);
+  this->Accept(start);
+  this->Announced(kSound, "sound", 8);
+  this->now += kTwiceOnSlowWorker;
+  this->Report(kSlowing, kSpeed);
+  const auto* withdrawal = this->Find<SendWithdraw>();
+  ASSERT_NE(withdrawal, nullptr);
+  ASSERT_EQ(withdrawal->message.items.size(), 1U);
+  EXPECT_EQ(withdrawal->message.items[0].task, start.items[1].task);
+}
+
 // A job that no worker can finish by its deadline is refused at once and truly has not run.
 TEST_F(WorkerSpeedTest, JobThatNoWorkerCanFinishInTimeIsRefusedAtOnce) {
   this->Report(kSlowing, 0.05);
