Announce again to entries that did not record the agent

Cause: an entry without configuration does not record an agent that announces itself, but its reply said known=true.

Change: the reply to an announcement that was not recorded has known=false, and the agent announces itself again after 0.5 s, doubling to 4 s. Independently, an agent that no answering entry counts as a member sends heartbeats to all entries after 1 s, then at intervals that grow to 30 s and start anew with each change at an entry. The distant interval applies while another entry uses the agent; HeartbeatIntervalDependsOnMembershipAndTasks now has such an entry.

--- a/src/core/agent/announcer.cc
+++ b/src/core/agent/announcer.cc
@@ -15,6 +15,19 @@
 /// Upper limit of the retry interval, in heartbeat intervals. A silent entry that comes back gets
 /// to know the agent well before it would declare it dead.
 constexpr int kMaxRetryHeartbeats = 4;
+/// Intervals at which an announcement is repeated that the entry answered without recording the
+/// agent, because it has no configuration yet. They double from the first to the last, which
+/// bounds the traffic with many entries that wait for their configuration.
+constexpr Milliseconds kMinAnnounceInterval{500};
+constexpr int kMaxDoublings = 3;
+/// Also the longest retry interval at an entry that does not answer, while no entry counts the
+/// agent as a member.
+constexpr Milliseconds kMaxAnnounceInterval = kMinAnnounceInterval * (1 << kMaxDoublings);
+/// Limits of the time between two messages to an entry while no entry counts the agent as a member.
+/// The time grows with the length of that period: in large services many agents are beyond the
+/// subsets of all entries for good, and 450 of them send an entry 15 heartbeats a second.
+constexpr Milliseconds kMinUnusedInterval{1000};
+constexpr Milliseconds kMaxUnusedInterval{30000};
 /// Announcements and heartbeats to one entry without a result. A connection that has gone silent
 /// keeps the result of one for as long as a call may take.
 constexpr std::size_t kMaxInFlight = 3;
@@ -78,22 +91,41 @@
   });
 }
 
+bool Announcer::IsUsed() const {
+  return std::ranges::any_of(this->entries, [](const auto& item) {
+    return item.second.member && item.second.failures == 0;
+  });
+}
+
+Time::duration Announcer::UnusedInterval(Time now) const {
+  // Half of the time since the last change makes each interval about as long as all before it.
+  return std::clamp<Time::duration>((now - *this->unused_since) / 2, kMinUnusedInterval,
+                                    kMaxUnusedInterval);
+}
+
 bool Announcer::IsHeartbeatDue(const std::string& address, const Entry& entry, Time now) const {
   if (!entry.in_flight.empty()) {
     return entry.in_flight.size() < kMaxInFlight &&
            now - entry.last_sent >= this->health.heartbeat && this->is_active(address);
   }
-  if (entry.failures > 0) {
-    return now >= entry.retry_at;
+  const bool unused = this->unused_since && !this->leaving;
+  if (entry.failures > 0 || entry.unrecorded > 0) {
+    return now >= entry.retry_at || (unused && now - entry.last_sent >= kMaxAnnounceInterval);
   }
   const Time::duration idle = now - entry.last_message;
   const Milliseconds interval =
       entry.member ? this->health.idle_heartbeat : this->health.distant_heartbeat;
-  return idle >= interval || (idle >= this->health.heartbeat && this->is_active(address));
+  return (unused && now - entry.last_sent >= this->UnusedInterval(now)) || idle >= interval ||
+         (idle >= this->health.heartbeat && this->is_active(address));
 }
 
 std::vector<Announcer::Due> Announcer::TakeDue(Time now) {
   this->DropSilent(now);
+  if (this->IsUsed()) {
+    this->unused_since.reset();
+  } else if (!this->unused_since) {
+    this->unused_since = now;
+  }
   std::vector<Due> due;
   for (auto& [address, entry] : this->entries) {
     if (!entry.in_flight.empty() && now - entry.last_sent >= kInFlightTimeout) {
@@ -101,13 +133,14 @@
       ++entry.failures;
     }
     if (entry.announce_now || this->IsHeartbeatDue(address, entry, now)) {
-      // An entry that never answered an announcement does not know the agent, so a heartbeat is no
-      // use to it.
-      const bool full = entry.announce_now || !entry.answered_once || this->leaving;
+      // An entry that never answered an announcement, or did not record the agent, does not know
+      // it, so a heartbeat is no use to it.
+      const bool full =
+          entry.announce_now || !entry.answered_once || entry.unrecorded > 0 || this->leaving;
       entry.announce_now = false;
       entry.last_sent = now;
       entry.last_message = now;
-      entry.in_flight.push_back(this->leaving);
+      entry.in_flight.push_back({full, this->leaving});
       due.push_back({address, full, entry.entries_digest});
     }
   }
@@ -120,12 +153,25 @@
     return;
   }
   Entry& entry = found->second;
-  entry.knows_of_leaving = TakeInFlight(entry) || entry.knows_of_leaving;
+  const Sent sent = TakeInFlight(entry);
+  entry.knows_of_leaving = sent.leaving || entry.knows_of_leaving;
+  const bool changed =
+      entry.failures > 0 || entry.incarnation != reply.entry.incarnation || !reply.known;
+  if (this->unused_since && changed) {
+    this->unused_since = now;
+  }
   entry.answered_once = true;
   entry.incarnation = reply.entry.incarnation;
   entry.silent_since.reset();
   entry.failures = 0;
-  entry.announce_now = entry.announce_now || !reply.known;
+  if (reply.known) {
+    entry.unrecorded = 0;
+  } else if (sent.full) {
+    entry.retry_at = now + kMinAnnounceInterval * (1 << std::min(entry.unrecorded, kMaxDoublings));
+    ++entry.unrecorded;
+  } else {
+    entry.announce_now = true;
+  }
   this->ApplyReply(entry, reply, now);
 }
 
@@ -167,13 +213,13 @@
   return addresses;
 }
 
-bool Announcer::TakeInFlight(Entry& entry) {
+Announcer::Sent Announcer::TakeInFlight(Entry& entry) {
   if (entry.in_flight.empty()) {
-    return false;
+    return {};
   }
-  const bool told_of_leaving = entry.in_flight.front();
+  const Sent sent = entry.in_flight.front();
   entry.in_flight.pop_front();
-  return told_of_leaving;
+  return sent;
 }
 
 void Announcer::DropSilent(Time now) {
--- a/src/core/agent/announcer.h
+++ b/src/core/agent/announcer.h
@@ -77,6 +77,12 @@
   std::vector<std::string> Addresses() const;
 
  private:
+  /// An announcement or heartbeat on its way.
+  struct Sent {
+    bool full = false;
+    /// Whether it said that the agent is leaving.
+    bool leaving = false;
+  };
   struct Entry {
     bool seed = false;
     bool announce_now = true;
@@ -93,21 +99,28 @@
     Time retry_at{};
     Time last_sent{};
     int failures = 0;
-    /// For each announcement without a result so far, oldest first: whether it said that the agent
-    /// is leaving.
-    std::deque<bool> in_flight;
+    /// Announcements in a row that the entry answered without recording the agent.
+    int unrecorded = 0;
+    /// Messages without a result so far, oldest first.
+    std::deque<Sent> in_flight;
   };
 
+  /// Whether an entry that answers counts the agent as a member.
+  bool IsUsed() const;
   bool IsHeartbeatDue(const std::string& address, const Entry& entry, Time now) const;
+  /// Longest time between two messages to an entry while no entry counts the agent as a member.
+  Time::duration UnusedInterval(Time now) const;
   void ApplyReply(Entry& entry, const AnnounceReply& reply, Time now);
   void DropSilent(Time now);
-  /// Removes the oldest announcement in flight and returns whether it said that the agent is
-  /// leaving.
-  static bool TakeInFlight(Entry& entry);
+  /// Removes the oldest message in flight and returns it.
+  static Sent TakeInFlight(Entry& entry);
 
   ServiceConfiguration::Health health;
   ActiveHook is_active;
   bool leaving = false;
+  /// Start of the present period in which no entry counts the agent as a member, or the last change
+  /// at an entry during it; empty while one does.
+  std::optional<Time> unused_since;
   std::map<std::string, Entry> entries;
 };
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -232,7 +232,8 @@
   std::uint64_t configuration_version = 0;
   /// Set if the entry places tasks on the agent.
   bool member = false;
-  /// False if the entry does not know the incarnation and needs a full announcement.
+  /// False if the entry has no record of the incarnation and needs a full announcement. Also false
+  /// in the reply to an announcement that was not recorded, as before the first configuration.
   bool known = true;
   /// Tasks to stop, whose withdrawal the agent has not answered yet: the connection that it was
   /// sent on may have gone silent. Only in replies.
--- a/tests/agent/senders_test.cc
+++ b/tests/agent/senders_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "core/agent/announcer.h"
 #include "core/agent/endpoint_monitor.h"
 #include "core/agent/lease_renewer.h"
@@ -130,10 +132,14 @@
 // Heartbeats that are too frequent flood the entries; too rare ones make them take a live agent for
 // dead.
 TEST_F(AnnouncerTest, HeartbeatIntervalDependsOnMembershipAndTasks) {
-  EXPECT_EQ(this->DueAt(0), "seed!") << "full announcement at startup";
+  this->announcer.AddEntry("user", At(0));
+  EXPECT_EQ(this->DueAt(0), "seed!user!") << "full announcement at startup";
+  this->announcer.Answered("user", Reply(2, true), At(0));
   this->announcer.Answered("seed", Reply(1, false), At(0));
+  this->announcer.RecordTraffic("user", At(290000));
   EXPECT_EQ(this->DueAt(299999), "");
-  EXPECT_EQ(this->DueAt(300000), "seed") << "not a member";
+  EXPECT_EQ(this->DueAt(300000), "seed") << "not a member here, but elsewhere";
+  this->announcer.RecordTraffic("user", At(330000));
   this->announcer.Answered("seed", Reply(1, true), At(300000));
   this->announcer.RecordTraffic("seed", At(310000));
   EXPECT_EQ(this->DueAt(329999), "");
@@ -141,7 +147,7 @@
   this->announcer.Answered("seed", Reply(1, true), At(330000));
   this->active = true;
   EXPECT_EQ(this->DueAt(330999), "");
-  EXPECT_EQ(this->DueAt(331000), "seed") << "active";
+  EXPECT_EQ(this->DueAt(331000), "seeduser") << "active";
 }
 
 // Unless a notice takes effect at once, a new member keeps sending heartbeats at the interval for
@@ -169,6 +175,58 @@
   EXPECT_EQ(this->DueAt(20000), "seed!");
 }
 
+// An entry that does not record the agent answers within a round trip: announcements without a
+// pause would be a busy loop, and none until the next heartbeat left agents unused (review/7).
+TEST_F(AnnouncerTest, RepeatsAnAnnouncementThatWasNotRecordedAtGrowingIntervals) {
+  AnnounceReply unrecorded = Reply(1, false);
+  unrecorded.known = false;
+  std::string sent_at;
+  for (int ms = 0; ms <= 12000; ms += 100) {
+    const std::string due = this->DueAt(ms);
+    if (!due.empty()) {
+      EXPECT_EQ(due, "seed!");
+      sent_at += std::to_string(ms) + " ";
+      this->announcer.Answered("seed", unrecorded, At(ms));
+    }
+  }
+  EXPECT_EQ(sent_at, "0 500 1500 3500 7500 11500 ");
+  this->DueAt(15500);
+  this->announcer.Answered("seed", Reply(1, true), At(15500));
+  EXPECT_EQ(this->DueAt(35499), "");
+  EXPECT_EQ(this->DueAt(35500), "seed") << "a recorded agent sends heartbeats";
+}
+
+// With the intervals of the default configuration, an agent that no entry used was silent for
+// 300 s, whatever the entries had forgotten meanwhile (review/7).
+TEST_F(AnnouncerTest, AgentThatNoEntryUsesReportsToAllWithinSeconds) {
+  this->announcer.AddEntry("other", At(0));
+  this->DueAt(0);
+  this->announcer.Answered("seed", Reply(1, false), At(0));
+  this->announcer.Answered("other", Reply(2, false), At(0));
+  EXPECT_EQ(this->DueAt(999), "");
+  EXPECT_EQ(this->DueAt(1000), "otherseed");
+  this->announcer.Answered("seed", Reply(1, false), At(1000));
+  this->announcer.Answered("other", Reply(2, true), At(1000));
+  EXPECT_EQ(this->DueAt(20999), "") << "used by one entry";
+  EXPECT_EQ(this->DueAt(21000), "other");
+  this->announcer.Failed("other", At(21000));
+  EXPECT_EQ(this->DueAt(22000), "otherseed") << "the entry that used it is silent";
+}
+
+// Agents beyond the subsets of all entries stay without use for good. At 640 agents and a heartbeat
+// of each every second, an entry would receive 640 messages a second.
+TEST_F(AnnouncerTest, AgentThatStaysUnusedReportsEverMoreSeldom) {
+  int messages = 0;
+  for (int ms = 0; ms <= 600000; ms += 100) {
+    if (!this->DueAt(ms).empty()) {
+      ++messages;
+      this->announcer.Answered("seed", Reply(1, false), At(ms));
+    }
+  }
+  EXPECT_LE(messages, 26);
+  EXPECT_GE(messages, 20);
+}
+
 TEST_F(AnnouncerTest, DiscoveredEntryIsToldAtOnceAndDroppedWhenSilent) {
   this->announcer.TakeDue(At(0));
   this->announcer.AddEntry("learned", At(10));
--- a/tests/core/membership_test.cc
+++ b/tests/core/membership_test.cc
@@ -205,6 +205,21 @@
   EXPECT_TRUE(this->Select<ReplyAnnounce>().at(0).reply.known);
 }
 
+// After all processes had restarted at once, the reply to an announcement that was not recorded
+// stopped the agent from announcing itself again: no job was served for 300 s (review/7).
+TEST(MembershipWithoutConfigurationTest, ReplyToAnUnrecordedAnnouncementSaysSo) {
+  EntryCore core({kSelf, "self", "dc"}, {}, {}, 1);
+  Announce announce;
+  announce.agent = kAgent;
+  announce.name = announce.address = "a";
+  announce.service = "s";
+  const auto actions = core.Handle(Time{seconds(1000)}, AgentAnnounced{99, announce});
+  const auto* reply = std::get_if<ReplyAnnounce>(&actions.at(0));
+  ASSERT_NE(reply, nullptr);
+  EXPECT_FALSE(reply->reply.known);
+  EXPECT_FALSE(reply->reply.member);
+}
+
 // A configuration change has to take effect long before the next heartbeat of an idle agent.
 TEST_F(MembershipTest, NotifiesIdleAgentsOfTheConfigurationVersion) {
   this->AddAgent(kAgent, "a");
