Keep registered entries known to agents while their rows are in the store

Cause: Announcer drops an entry that has been silent for 60 s, and an entry that comes back with the same row writes nothing to the table.

Change: the agent's watcher of the table entries passes on the complete set of rows, and entries in it are not dropped; an entry whose row is removed is dropped as before. At the limit of 256 entries a new one takes the place of the one that has been silent longest, because rows of entries that are gone stay in the table.

Result: ListedEntryIsNotDroppedHoweverLongItIsSilent and EntryThatIsSilentForLongGivesItsPlaceToANewOne pass; the former AddEntry drops such an entry after 60 s (DiscoveredEntryIsToldAtOnceAndDroppedWhenSilent).

--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -120,8 +120,8 @@
   return this->metrics.Text();
 }
 
-void AgentProcess::LearnEntry(const std::string& address) {
-  this->thread.PostResult(EntryDiscovered{address});
+void AgentProcess::SetListedEntries(std::vector<std::string> addresses) {
+  this->thread.PostResult(EntriesListed{std::move(addresses)});
 }
 
 void AgentProcess::Leave() {
--- a/src/agent/agent_process.h
+++ b/src/agent/agent_process.h
@@ -6,6 +6,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "agent/action_runner.h"
 #include "agent/agent_thread.h"
@@ -37,8 +38,9 @@
   /// Returns an empty text, or why the agent cannot start.
   std::string Start();
 
-  /// Announces the agent to the entry at this inner address as well. Thread-safe.
-  void LearnEntry(const std::string& address);
+  /// Sets the inner addresses of the registered entries. The agent announces itself to them for as
+  /// long as they are registered. Thread-safe.
+  void SetListedEntries(std::vector<std::string> addresses);
 
   /// Departs gracefully: returns when tasks are finished and outcomes delivered.
   void Leave();
--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -83,7 +83,7 @@
   void On(const OutcomesReplied& event);
   void On(const AnnounceReplied& event);
   void On(const NoticeReceived& event);
-  void On(const EntryDiscovered& event);
+  void On(const EntriesListed& event);
   void On(const AgentConfigurationChanged& event);
   void On(const LeaveRequested& event);
   void On(const Tick& event);
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -49,8 +49,8 @@
   this->FetchConfigurationIfNewer(notice.configuration_version, notice.entry.address);
 }
 
-void AgentCore::On(const EntryDiscovered& event) {
-  this->announcer.AddEntry(event.address, this->now);
+void AgentCore::On(const EntriesListed& event) {
+  this->announcer.SetListed(event.addresses, this->now);
 }
 
 bool AgentCore::HoldsTasksOfEntryAt(const std::string& address) const {
--- a/src/core/agent/agent_events.h
+++ b/src/core/agent/agent_events.h
@@ -75,9 +75,9 @@
   /// See OutcomesReplied.
   Time sent{};
 };
-/// The address of an entry became known.
-struct EntryDiscovered {
-  std::string address;
+/// The addresses of all registered entries.
+struct EntriesListed {
+  std::vector<std::string> addresses;
 };
 /// The agent received a version of its service's configuration.
 struct AgentConfigurationChanged {
@@ -87,7 +87,7 @@
 using AgentEvent =
     std::variant<StartReceived, WithdrawReceived, SealReceived, EndpointFinished, EndpointRefused,
                  EndpointChecked, UsageReported, OutcomesReplied, AnnounceReplied, NoticeReceived,
-                 EntryDiscovered, AgentConfigurationChanged, LeaveRequested, Tick>;
+                 EntriesListed, AgentConfigurationChanged, LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
--- a/src/core/agent/announcer.cc
+++ b/src/core/agent/announcer.cc
@@ -44,7 +44,8 @@
 }
 
 void Announcer::AddEntry(const std::string& address, Time now) {
-  if (address.empty() || this->entries.contains(address) || this->entries.size() >= kMaxEntries) {
+  if (address.empty() || this->entries.contains(address) ||
+      (this->entries.size() >= kMaxEntries && !this->DropLongestSilent(now))) {
     return;
   }
   this->entries[address].silent_since = now;
@@ -59,6 +60,19 @@
   }
 }
 
+void Announcer::SetListed(const std::vector<std::string>& addresses, Time now) {
+  for (auto& [address, entry] : this->entries) {
+    entry.listed = false;
+  }
+  for (const std::string& address : addresses) {
+    this->AddEntry(address, now);
+    const auto found = this->entries.find(address);
+    if (found != this->entries.end()) {
+      found->second.listed = true;
+    }
+  }
+}
+
 void Announcer::RecordTraffic(const std::string& address, Time now) {
   const auto found = this->entries.find(address);
   if (found != this->entries.end()) {
@@ -222,9 +236,25 @@
   return sent;
 }
 
+bool Announcer::DropLongestSilent(Time now) {
+  auto longest = this->entries.end();
+  for (auto item = this->entries.begin(); item != this->entries.end(); ++item) {
+    const Entry& entry = item->second;
+    if (!entry.seed && entry.silent_since && now - *entry.silent_since >= kDropSilentAfter &&
+        (longest == this->entries.end() || *entry.silent_since < *longest->second.silent_since)) {
+      longest = item;
+    }
+  }
+  if (longest == this->entries.end()) {
+    return false;
+  }
+  this->entries.erase(longest);
+  return true;
+}
+
 void Announcer::DropSilent(Time now) {
   const auto dropped = std::erase_if(this->entries, [now](const auto& item) {
-    return !item.second.seed && item.second.silent_since &&
+    return !item.second.seed && !item.second.listed && item.second.silent_since &&
            now - *item.second.silent_since >= kDropSilentAfter;
   });
   if (dropped > 0) {
--- a/src/core/agent/announcer.h
+++ b/src/core/agent/announcer.h
@@ -40,13 +40,18 @@
   /// Sets the heartbeat intervals.
   void SetIntervals(const ServiceConfiguration::Health& new_health) { this->health = new_health; }
 
-  /// Adds an entry, unless it is already known or the limit on entries is reached.
+  /// Adds an entry, unless it is already known. At the limit on entries it takes the place of the
+  /// one that has been silent for the longest time, or is not added if none is silent for long.
   void AddEntry(const std::string& address, Time now);
 
   /// Adds an entry. If it has answered before as another incarnation, makes a full announcement
   /// to it due now.
   void AddEntry(const EntryInfo& info, Time now);
 
+  /// Replaces the set of registered entries. They are added, and not dropped for their silence
+  /// while they remain in the set.
+  void SetListed(const std::vector<std::string>& addresses, Time now);
+
   /// Records that another message was sent to the entry. It replaces the next heartbeat, but not
   /// the first announcement.
   void RecordTraffic(const std::string& address, Time now);
@@ -85,6 +90,7 @@
   };
   struct Entry {
     bool seed = false;
+    bool listed = false;
     bool announce_now = true;
     bool answered_once = false;
     bool knows_of_leaving = false;
@@ -112,6 +118,9 @@
   Time::duration UnusedInterval(Time now) const;
   void ApplyReply(Entry& entry, const AnnounceReply& reply, Time now);
   void DropSilent(Time now);
+  /// Removes the entry that has been silent for the longest time, and at least for
+  /// kDropSilentAfter. Returns whether there was one.
+  bool DropLongestSilent(Time now);
   /// Removes the oldest message in flight and returns it.
   static Sent TakeInFlight(Entry& entry);
 
--- a/tests/agent/senders_test.cc
+++ b/tests/agent/senders_test.cc
@@ -240,6 +240,36 @@
   EXPECT_EQ(this->announcer.Addresses(), std::vector<std::string>{"seed"});
 }
 
+// An entry that came back after 66 s with the row that it had before was never announced to again,
+// and got no agents (issue 32).
+TEST_F(AnnouncerTest, ListedEntryIsNotDroppedHoweverLongItIsSilent) {
+  this->announcer.SetListed({"listed", "removed"}, At(0));
+  this->DueAt(0);
+  this->announcer.Failed("listed", At(0));
+  this->announcer.Failed("removed", At(0));
+  this->announcer.SetListed({"listed"}, At(30000));
+  this->DueAt(600000);
+  EXPECT_EQ(this->announcer.Addresses(), (std::vector<std::string>{"listed", "seed"}));
+  this->announcer.Failed("listed", At(600000));
+  EXPECT_NE(this->DueAt(604000).find("listed!"), std::string::npos);
+  this->announcer.SetListed({}, At(605000));
+  this->DueAt(605000);
+  EXPECT_EQ(this->announcer.Addresses(), std::vector<std::string>{"seed"});
+}
+
+// Rows of entries that are gone stay in the table. They must not keep out an entry that is alive.
+TEST_F(AnnouncerTest, EntryThatIsSilentForLongGivesItsPlaceToANewOne) {
+  std::vector<std::string> listed;
+  for (int i = 0; i < 300; ++i) listed.push_back("gone-" + std::to_string(i));
+  this->announcer.SetListed(listed, At(0));
+  this->announcer.AddEntry("new", At(59999));
+  EXPECT_EQ(this->announcer.Addresses().back(), "seed");
+  this->announcer.AddEntry("new", At(60000));
+  const std::vector<std::string> known = this->announcer.Addresses();
+  EXPECT_EQ(known.size(), 256U);
+  EXPECT_NE(std::ranges::find(known, "new"), known.end());
+}
+
 // An entry that is seldom contacted and therefore seldom answers must not be dropped.
 TEST_F(AnnouncerTest, RarelyContactedEntryIsNotDropped) {
   this->announcer.AddEntry("learned", At(0));
