--- a/tests/adapter/worker_report_server_test.cc
+++ b/tests/adapter/worker_report_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <string>
 
 #include "http/http_session.h"
@@ -10,6 +11,15 @@
 namespace quetzalvale::platform {
 namespace {
 
+/// Stands still unless a test moves it.
+class ManualClock : public Clock {
+ public:
+  std::chrono::steady_clock::time_point Now() const override { return this->now.load(); }
+  std::chrono::system_clock::time_point WallNow() const override { return {}; }
+
+  std::atomic<std::chrono::steady_clock::time_point> now{};
+};
+
 class WorkerReportServerTest : public testing::Test {
  protected:
   WorkerReportServerTest() { EXPECT_EQ(this->server.Start(), ""); }
@@ -20,15 +30,17 @@
     return std::holds_alternative<HttpResponse>(result) ? std::get<HttpResponse>(result).status : 0;
   }
 
-  int Report(int born, int sequence, const std::string& state = "ready") {
-    return this->Post("Heartbeat", R"({"service":"s","state":")" + state +
+  int Report(int born, int sequence, const std::string& state = "ready",
+             const std::string& service = "s") {
+    return this->Post("Heartbeat", R"({"service":")" + service + R"(","state":")" + state +
                                        R"(","capacity":{"cpu":16000,"mem_mb":1024},"born":)" +
                                        std::to_string(born) +
                                        ",\"seq\":" + std::to_string(sequence) + "}");
   }
 
   const std::string address = NextLoopbackAddress();
-  WorkerReportServer server{this->address};
+  ManualClock clock;
+  WorkerReportServer server{this->address, this->clock};
   HttpSession session{this->address, 1};
 };
 
@@ -55,6 +67,37 @@
   EXPECT_FALSE(this->server.LatestReport());
 }
 
+// A report of another writer with an unknown service and a later start was taken for the next
+// incarnation of the worker, and the agent dropped a healthy worker for good (issue 32).
+TEST_F(WorkerReportServerTest, ReportOfAnotherServiceDoesNotEndTheUseOfTheWorker) {
+  this->Report(500, 1);
+  this->Report(900, 1, "ready", "unknown");
+  this->Report(500, 9, "draining", "unknown");
+  ASSERT_TRUE(this->server.LatestReport());
+  EXPECT_EQ(this->server.LatestReport()->service, "s");
+  EXPECT_EQ(this->server.LatestReport()->started_at, 500);
+  EXPECT_FALSE(this->server.LatestReport()->draining);
+  this->Report(500, 2, "draining");
+  EXPECT_TRUE(this->server.LatestReport()->draining);
+  this->Report(600, 1);
+  EXPECT_EQ(this->server.LatestReport()->started_at, 600);
+}
+
+// A machine whose service changes must not stay without an agent.
+TEST_F(WorkerReportServerTest, WorkerOfAnotherServiceIsTakenOnceTheFirstIsGone) {
+  this->Report(500, 1);
+  this->Post("Leave", R"({"born":500})");
+  this->Report(600, 1, "ready", "other");
+  ASSERT_TRUE(this->server.LatestReport());
+  EXPECT_EQ(this->server.LatestReport()->service, "other");
+  this->clock.now = this->clock.now.load() + std::chrono::milliseconds(9999);
+  this->Report(550, 1);
+  EXPECT_EQ(this->server.LatestReport()->service, "other");
+  this->clock.now = this->clock.now.load() + std::chrono::milliseconds(1);
+  this->Report(550, 1);
+  EXPECT_EQ(this->server.LatestReport()->service, "s") << "whatever the other one's start";
+}
+
 TEST_F(WorkerReportServerTest, LateReportDoesNotEndDraining) {
   this->Report(500, 7, "draining");
   this->Report(500, 6);
