Leave without waiting for outcomes that no caller waits for any more

Change: outcomes of repeatable jobs hold the agent only until their owner has been silent for 1.5 s, longer than the 1.3 s after which callers of a dead entry submit again. Outcomes of other jobs hold it for 60 s as before.

Result: LeavingAgentWaitsForASilentOwnerOnlyAsLongAsRepeatableOutcomesAreOfUse fails with the limit at 60 s and passes now.

--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -150,6 +150,9 @@
   void CheckEndpointIfDue();
   void ForgetClosedOwners();
   void DepartIfDone();
+  /// Whether a leaving agent has outcomes left to deliver that are still of use. Precondition: all
+  /// tasks have finished.
+  bool HasUsefulOutcomes() const;
   /// Requests the configuration if this version is newer than the current one, unless it was
   /// requested and the backoff has not passed yet.
   void FetchConfigurationIfNewer(std::uint64_t version, const std::string& address);
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -13,6 +13,9 @@
 /// Longest time for which a leaving agent without tasks keeps delivering outcomes. The jobs of an
 /// owner that has not answered for a minute have been salvaged.
 constexpr Milliseconds kMaxDeliveryTime{60000};
+/// A leaving agent delivers outcomes of repeatable jobs to an owner until it has been silent for
+/// this long. Longer than the 1,300 ms after which callers of a dead entry submit their jobs again.
+constexpr Milliseconds kMaxRepeatableDeliveryTime{1500};
 /// A leaving agent waits at most this long for entries that do not answer.
 constexpr Milliseconds kMaxLeaveNoticeTime{5000};
 /// Time after the entries know of the leaving during which the agent still refuses starts that were
@@ -129,6 +132,17 @@
 
 void AgentCore::On(const Tick& /*event*/) {}
 
+bool AgentCore::HasUsefulOutcomes() const {
+  const Time::duration idle = this->now - *this->idle_since;
+  if (idle >= kMaxDeliveryTime) {
+    return false;
+  }
+  return this->outcomes.AnyPending([this, idle](const TaskKey& task) {
+    return !this->store.Find(task)->repeatable || idle < kMaxRepeatableDeliveryTime ||
+           !this->watchdog.IsSilent(task.ticket.owner, this->now, kMaxRepeatableDeliveryTime);
+  });
+}
+
 void AgentCore::DepartIfDone() {
   if (!this->leaving || this->departed || this->store.Running() + this->store.Queued() > 0) {
     return;
@@ -142,7 +156,7 @@
     this->leave_known_since = this->now;
   }
   const std::size_t pending = this->outcomes.Pending();
-  const bool delivered = pending == 0 || this->now - *this->idle_since >= kMaxDeliveryTime;
+  const bool delivered = !this->HasUsefulOutcomes();
   if (delivered && this->leave_known_since &&
       this->now - *this->leave_known_since >= kLateStartGrace) {
     this->departed = true;
--- a/src/core/agent/outcome_sender.cc
+++ b/src/core/agent/outcome_sender.cc
@@ -170,6 +170,12 @@
   });
 }
 
+bool OutcomeSender::AnyPending(const std::function<bool(const TaskKey&)>& predicate) const {
+  return std::ranges::any_of(this->owners, [&](const auto& element) {
+    return std::ranges::any_of(element.second.pending, predicate);
+  });
+}
+
 std::size_t OutcomeSender::Pending() const {
   std::size_t pending = 0;
   for (const auto& [incarnation, owner] : this->owners) {
--- a/src/core/agent/outcome_sender.h
+++ b/src/core/agent/outcome_sender.h
@@ -76,6 +76,9 @@
   bool AnyOwnerAt(const std::string& address,
                   const std::function<bool(const Incarnation&)>& predicate) const;
 
+  /// Whether an unacknowledged outcome satisfies the predicate.
+  bool AnyPending(const std::function<bool(const TaskKey&)>& predicate) const;
+
   /// Number of unacknowledged outcomes of all owners.
   std::size_t Pending() const;
 
--- a/src/core/agent/run_watchdog.h
+++ b/src/core/agent/run_watchdog.h
@@ -73,6 +73,9 @@
   /// kMaxSilenceForRenewal or some run had to end kMaxStopTimeForRenewal ago.
   bool ForbidsLeaseRenewal(Time now) const;
 
+  /// Whether the owner has been silent for at least `time`, or was never heard from.
+  bool IsSilent(const Incarnation& owner, Time now, Milliseconds time) const;
+
   std::size_t Size() const { return this->tasks.size(); }
 
  private:
@@ -83,8 +86,6 @@
     int stops = 0;
   };
 
-  /// Whether the owner has been silent for at least `time`.
-  bool IsSilent(const Incarnation& owner, Time now, Milliseconds time) const;
   /// Returns why the run has to end now, or nothing if it may go on.
   std::optional<Reason> ReasonToStop(const TaskKey& task, const WatchedRun& run, Time now) const;
   /// Removes owners without tasks that have long been silent.
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -254,6 +254,33 @@
   return request;
 }
 
+// An agent whose entry was gone for good waited 60 s before it served its next worker (issue 32).
+TEST_F(AgentCoreTest, LeavingAgentWaitsForASilentOwnerOnlyAsLongAsRepeatableOutcomesAreOfUse) {
+  this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1)}, Milliseconds(10000))});
+  this->Handle(LeaveRequested{});
+  this->Finish(MakeTask(1));
+  this->Handle(AnnounceReplied{kOwnerAddress, Error{ErrorKind::kTimeout, "gone"}});
+  this->Handle(OutcomesReplied{kOwnerId, {MakeTask(1)}, Error{ErrorKind::kTimeout, "gone"}});
+  EXPECT_TRUE(Select<Departed>(this->Handle(Tick{}, 1490)).empty()) << "its callers still wait";
+  // Entries that do not answer get 5 s to learn of the leaving, and late starts 0.5 s to arrive.
+  this->Handle(Tick{}, 3510);
+  EXPECT_EQ(Select<Departed>(this->Handle(Tick{}, 500)).size(), 1U);
+}
+
+// An owner that answers announcements is alive and waits for the outcome.
+TEST_F(AgentCoreTest, LeavingAgentWaitsForAnOwnerThatIsHeardFrom) {
+  this->Handle(StartReceived{1, MakeRepeatable(1, {MakeTask(1)}, Milliseconds(10000))});
+  this->Handle(LeaveRequested{});
+  this->Finish(MakeTask(1));
+  for (int second = 0; second < 20; ++second) {
+    AnnounceReply reply;
+    reply.entry.incarnation = kOwnerId;
+    const auto actions =
+        this->Handle(AnnounceReplied{kOwnerAddress, reply, this->now + Milliseconds(999)}, 1000);
+    EXPECT_TRUE(Select<Departed>(actions).empty());
+  }
+}
+
 // An entry that does not hear this agent repeats its withdrawals and notices, and soon starts the
 // tasks elsewhere. While these messages counted as contact, the runs here went on beside the new
 // ones behind a link that lost one direction.
