--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -83,7 +83,7 @@
   void On(const OutcomesReplied& event);
   void On(const AnnounceReplied& event);
   void On(const NoticeReceived& event);
-  void On(const EntryDiscovered& event);
+  void On(const EntriesListed& event);
   void On(const AgentConfigurationChanged& event);
   void On(const LeaveRequested& event);
   void On(const Tick& event);
@@ -154,6 +154,9 @@
   void CheckEndpointIfDue();
   void ForgetClosedOwners();
   void DepartIfDone();
+  /// Whether a leaving agent has outcomes left to deliver that are still of use. Precondition: all
+  /// tasks have finished.
+  bool HasUsefulOutcomes() const;
   /// Requests the configuration if this version is newer than the current one, unless it was
   /// requested and the backoff has not passed yet.
   void FetchConfigurationIfNewer(std::uint64_t version, const std::string& address);
--- a/src/core/agent/announcer.h
+++ b/src/core/agent/announcer.h
@@ -40,13 +40,18 @@
   /// Sets the heartbeat intervals.
   void SetIntervals(const ServiceConfiguration::Health& new_health) { this->health = new_health; }
 
-  /// Adds an entry, unless it is already known or the limit on entries is reached.
+  /// Adds an entry, unless it is already known. At the limit on entries it takes the place of the
+  /// one that has been silent for the longest time, or is not added if none is silent for long.
   void AddEntry(const std::string& address, Time now);
 
   /// Adds an entry. If it has answered before as another incarnation, makes a full announcement
   /// to it due now.
   void AddEntry(const EntryInfo& info, Time now);
 
+  /// Replaces the set of registered entries. They are added, and not dropped for their silence
+  /// while they remain in the set.
+  void SetListed(const std::vector<std::string>& addresses, Time now);
+
   /// Records that another message was sent to the entry. It replaces the next heartbeat, but not
   /// the first announcement.
   void RecordTraffic(const std::string& address, Time now);
@@ -77,8 +82,15 @@
   std::vector<std::string> Addresses() const;
 
  private:
+  /// An announcement or heartbeat on its way.
+  struct Sent {
+    bool full = false;
+    /// Whether it said that the agent is leaving.
+    bool leaving = false;
+  };
   struct Entry {
     bool seed = false;
+    bool listed = false;
     bool announce_now = true;
     bool answered_once = false;
     bool knows_of_leaving = false;
@@ -93,21 +105,31 @@
     Time retry_at{};
     Time last_sent{};
     int failures = 0;
-    /// For each announcement without a result so far, oldest first: whether it said that the agent
-    /// is leaving.
-    std::deque<bool> in_flight;
+    /// Announcements in a row that the entry answered without recording the agent.
+    int unrecorded = 0;
+    /// Messages without a result so far, oldest first.
+    std::deque<Sent> in_flight;
   };
 
+  /// Whether an entry that answers counts the agent as a member.
+  bool IsUsed() const;
   bool IsHeartbeatDue(const std::string& address, const Entry& entry, Time now) const;
+  /// Longest time between two messages to an entry while no entry counts the agent as a member.
+  Time::duration UnusedInterval(Time now) const;
   void ApplyReply(Entry& entry, const AnnounceReply& reply, Time now);
   void DropSilent(Time now);
-  /// Removes the oldest announcement in flight and returns whether it said that the agent is
-  /// leaving.
-  static bool TakeInFlight(Entry& entry);
+  /// Removes the entry that has been silent for the longest time, and at least for
+  /// kDropSilentAfter. Returns whether there was one.
+  bool DropLongestSilent(Time now);
+  /// Removes the oldest message in flight and returns it.
+  static Sent TakeInFlight(Entry& entry);
 
   ServiceConfiguration::Health health;
   ActiveHook is_active;
   bool leaving = false;
+  /// Start of the present period in which no entry counts the agent as a member, or the last change
+  /// at an entry during it; empty while one does.
+  std::optional<Time> unused_since;
   std::map<std::string, Entry> entries;
 };
 
