Accept a job to renew estimates that no run confirms

Cause: estimates of run times and speeds change only when runs end.

Change: when admission by a target refuses a kind and no run of it has ended for 3 s, one job of the kind is accepted (1044), without a target, by which it would be given up at once. While such jobs are answered on time, the next one follows, one at a time. EstimateRenewal holds the rule.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -197,8 +197,11 @@
   void SubmitWithUnusedTicket(ServiceState& service, const Waiter& waiter,
                               const Submission& submission);
   void SubmitWithKey(ServiceState& service, const Waiter& waiter, const Submission& submission);
-  std::optional<Refusal> CheckSubmission(ServiceState& service, const Submission& submission);
-  void AcceptJob(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  /// Sets `renews_estimates`, if given, when the job is accepted only for that reason.
+  std::optional<Refusal> CheckSubmission(ServiceState& service, const Submission& submission,
+                                         bool* renews_estimates = nullptr);
+  void AcceptJob(ServiceState& service, const Waiter& waiter, const Submission& submission,
+                 bool renews_estimates = false);
   bool AddWaiter(Job& job, const Waiter& waiter, std::uint64_t body_hash);
   void AnswerFromLedger(const TicketLedger& ledger, const Waiter& waiter, const Ticket& ticket,
                         const std::uint64_t* body_hash);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -235,6 +235,10 @@
   } else if (answer.status == AnswerStatus::kComplete || answer.reason == "task_failed") {
     this->repeatable_answers.Keep(service.name + "/" + job.name, job.body_hash, answer, this->now);
   }
+  if (job.renewal_on_time) {
+    service.renewal.Answered(
+        job.kind, answer.status == AnswerStatus::kComplete && this->now <= *job.renewal_on_time);
+  }
   const std::vector<Waiter> waiters = std::move(job.waiters);
   const std::uint64_t id = job.id;
   this->jobs.MarkAnswered(job);
--- a/src/core/entry/entry_core_repeatable.cc
+++ b/src/core/entry/entry_core_repeatable.cc
@@ -44,9 +44,10 @@
   }
   Submission owned = submission;
   owned.ticket = tickets.front();
+  bool renews_estimates = false;
   auto refusal = this->CheckRoundTripTime();
   if (!refusal) {
-    refusal = this->CheckSubmission(service, owned);
+    refusal = this->CheckSubmission(service, owned, &renews_estimates);
   }
   if (refusal) {
     refusal->not_run = true;
@@ -54,7 +55,7 @@
     this->Refuse(waiter, *refusal, std::nullopt);
     return;
   }
-  this->AcceptJob(service, waiter, owned);
+  this->AcceptJob(service, waiter, owned, renews_estimates);
 }
 
 std::optional<EntryCore::Refusal> EntryCore::CheckRoundTripTime() const {
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -329,6 +329,7 @@
       this->Log(1003, "agent_ejected", "agent=" + name);
     }
     if (outcome.ok) {
+      service.renewal.RunEnded(job->kind, this->now);
       service.model.Observe(
           job->kind, name, std::chrono::duration_cast<Microseconds>(task.spec.declared_run_time),
           Microseconds(
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -227,7 +227,8 @@
 }
 
 std::optional<EntryCore::Refusal> EntryCore::CheckSubmission(ServiceState& service,
-                                                             const Submission& submission) {
+                                                             const Submission& submission,
+                                                             bool* renews_estimates) {
   if (this->IsLeaving()) {
     return Refusal{ErrorKind::kLeaving, "this entry is leaving; submit through another one"};
   }
@@ -248,7 +249,12 @@
                        kResubmitWithFreshTicket};
   }
   if (auto error = CheckAdmission(*service.configuration, service.model, load, submission)) {
-    return Refusal{error->kind, error->message, false, load};
+    const bool by_estimates = load.target && error->kind == ErrorKind::kDeadlineUnreachable;
+    if (renews_estimates == nullptr || !by_estimates ||
+        !service.renewal.MayAccept(submission.kind, this->now)) {
+      return Refusal{error->kind, error->message, false, load};
+    }
+    *renews_estimates = true;
   }
   std::size_t bytes = this->jobs.PayloadBytes();
   for (const TaskSpec& task : submission.tasks) {
@@ -267,8 +273,8 @@
   return std::nullopt;
 }
 
-void EntryCore::AcceptJob(ServiceState& service, const Waiter& waiter,
-                          const Submission& submission) {
+void EntryCore::AcceptJob(ServiceState& service, const Waiter& waiter, const Submission& submission,
+                          bool renews_estimates) {
   service.ledger.MarkUsed(*submission.ticket, this->now);
   Job fresh;
   fresh.ticket = *submission.ticket;
@@ -286,6 +292,12 @@
     fresh.target =
         TargetOf(*kind, LongestExpectedRun(service, submission), fresh.submitted, fresh.deadline);
   }
+  if (renews_estimates) {
+    fresh.renewal_on_time = fresh.target->on_time;
+    fresh.target.reset();
+    service.renewal.Accepted(fresh.kind, this->now);
+    this->Log(1044, "estimates_renewed", "job=" + fresh.name + " kind=" + fresh.kind);
+  }
   for (const TaskSpec& spec : submission.tasks) {
     Task task;
     task.spec = spec;
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -115,6 +115,9 @@
   Time deadline{};
   /// Set for repeatable jobs only; the answer of other jobs is useful until the deadline.
   std::optional<AnswerTarget> target;
+  /// Set for a job that was accepted to renew estimates, see EstimateRenewal: until when its answer
+  /// is on time. Such a job has no target, by which it would be given up at once.
+  std::optional<Time> renewal_on_time{};
   std::vector<Task> tasks;
   std::vector<Waiter> waiters;
   /// Number of tasks that have not ended, and of those that succeeded.
--- a/src/core/entry/service_state.h
+++ b/src/core/entry/service_state.h
@@ -7,6 +7,7 @@
 
 #include "core/entry/ticket_ledger.h"
 #include "core/policy/arrival_rates.h"
+#include "core/policy/estimate_renewal.h"
 #include "core/policy/health_tracker.h"
 #include "core/policy/placement.h"
 #include "core/policy/quota_table.h"
@@ -36,6 +37,7 @@
   QuotaTable quotas;
   HealthTracker health;
   RetryBudget retry_budget;
+  EstimateRenewal renewal;
   PlacementHook placement;
   /// Until then, capacity of fast endpoints is reserved for tasks that need it.
   Time fast_slots_reserved_until{};
--- a/tests/core/worker_speed_test.cc
+++ b/tests/core/worker_speed_test.cc
@@ -128,6 +128,30 @@
   EXPECT_EQ(this->Find<SendWithdraw>(), nullptr);
 }
 
+// With the only worker taken for slow, nothing ran, no estimate changed, and the entry refused all
+// jobs for good (review, trial_slow).
+TEST_F(WorkerSpeedTest, JobIsTakenToRenewEstimatesThatNoRunConfirms) {
+  this->Report(kSlowing, 0.05);
+  EXPECT_EQ(this->Submit(1).agent, Incarnation());
+  this->now += Milliseconds(2999);
+  this->Report(kSlowing, 0.05);
+  EXPECT_EQ(this->Submit(2).agent, Incarnation());
+  this->now += Milliseconds(1);
+  const StartRequest start = this->Submit(3);
+  ASSERT_EQ(start.agent, kSlowing);
+  EXPECT_EQ(this->Submit(4).agent, Incarnation()) << "one at a time";
+  this->Accept(start);
+  OutcomesRequest outcome;
+  outcome.agent = kSlowing;
+  outcome.owner = kEntry;
+  outcome.load.free_slots = 8;
+  outcome.load.speed = 0.05;
+  outcome.outcomes = {Outcome{start.items[0].task, true, "", "null", kRun}};
+  this->now += kRun;
+  this->Send(OutcomesReceived{97, outcome});
+  EXPECT_EQ(this->Submit(5).agent, kSlowing) << "the one before was on time";
+}
+
 // A job that no worker can finish by its deadline is refused at once and truly has not run.
 TEST_F(WorkerSpeedTest, JobThatNoWorkerCanFinishInTimeIsRefusedAtOnce) {
   this->Report(kSlowing, 0.05);
