Agents in an evacuated data centre refuse starts and return queued tasks

An operator evacuates a data centre by a row in the store; nothing may start on its workers later than 5,000 ms after the row was acknowledged. Entries that are cut off from the store do not know of the row, so the agents must refuse their starts.

AnnounceReply carries the store's version and whether the agent's data centre is evacuated; the agent goes by the highest version, and among messages of one version by the evacuation. It refuses starts (kEvacuated), returns queued tasks as not run, leaves running ones to finish and reports no free capacity. AgentLoad reports what the agent was told, Hello carries the whole set between entries. New fields stand at the end of the packed messages.

--- a/src/agent/action_runner.cc
+++ b/src/agent/action_runner.cc
@@ -27,6 +27,8 @@
       return "wrong_incarnation";
     case StartRefusal::kEndpointDown:
       return "endpoint_down";
+    case StartRefusal::kEvacuated:
+      return "evacuated";
   }
   return "none";
 }
--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -112,6 +112,7 @@
 
 std::string AgentProcess::MetricsText() {
   ReportProcess(this->metrics);
+  this->metrics.Set("evacuated", this->thread.IsEvacuated() ? 1 : 0);
   // Requests to the endpoint are counted as they are sent, inner calls by their senders.
   const auto inner_calls = static_cast<double>(this->senders.SentCalls());
   const auto requests = static_cast<double>(this->metrics.Count("endpoint_requests_total"));
--- a/src/agent/agent_thread.cc
+++ b/src/agent/agent_thread.cc
@@ -35,6 +35,7 @@
     this->run(action);
   }
   this->ready = this->core.IsReady();
+  this->evacuated = this->core.IsEvacuated();
   this->CountOutcomes();
 }
 
--- a/src/agent/agent_thread.h
+++ b/src/agent/agent_thread.h
@@ -40,6 +40,8 @@
 
   /// Whether the agent takes starts.
   bool IsReady() const { return this->ready; }
+  /// See AgentCore::IsEvacuated. Thread-safe.
+  bool IsEvacuated() const { return this->evacuated; }
 
  private:
   void Handle(const AgentEvent& event);
@@ -50,6 +52,7 @@
   Metrics& metrics;
   Runner run;
   std::atomic<bool> ready{false};
+  std::atomic<bool> evacuated{false};
   std::uint64_t counted_sent = 0;
   std::uint64_t counted_repeated = 0;
   std::uint64_t counted_useful = 0;
--- a/src/core/agent/agent_core.cc
+++ b/src/core/agent/agent_core.cc
@@ -58,7 +58,7 @@
 AgentLoad AgentCore::CurrentLoad() const {
   AgentLoad load;
   load.clock = std::chrono::duration_cast<Microseconds>(this->now.time_since_epoch());
-  if (!this->leaving && this->endpoint.IsUp()) {
+  if (!this->leaving && !this->evacuated && this->endpoint.IsUp()) {
     const Resources free = this->FreeForNewTasks();
     const WorkerCapacity& worker = this->identity.worker;
     load.free_slots = static_cast<int>(std::max<std::int64_t>(0, free.slots));
@@ -70,6 +70,8 @@
   load.configuration_version = this->configuration->version;
   load.leaving = this->leaving;
   load.speed = this->speed.Speed(this->now);
+  load.evacuation_version = this->evacuation_version;
+  load.evacuated = this->evacuated;
   return load;
 }
 
--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -66,6 +66,9 @@
   /// Number of messages with at least one outcome that had not been sent before.
   std::uint64_t MessagesWithNewOutcomes() const { return this->messages_with_new_outcomes; }
 
+  /// Whether the agent's data centre is evacuated.
+  bool IsEvacuated() const { return this->evacuated; }
+
   /// Whether the agent accepts starts: the endpoint is up and the agent is not leaving.
   bool IsReady() const { return this->endpoint.IsUp() && !this->leaving; }
 
@@ -153,6 +156,9 @@
   /// Requests the configuration if this version is newer than the current one, unless it was
   /// requested and the backoff has not passed yet.
   void FetchConfigurationIfNewer(std::uint64_t version, const std::string& address);
+  /// Takes over whether the data centre is evacuated if the message is newer than what the agent
+  /// was told last. Returns queued tasks as not run if an evacuation begins.
+  void ApplyEvacuation(const AnnounceReply& message);
   void AddLogEvent(int number, std::string_view name, std::string details);
 
   AgentIdentity identity;
@@ -180,6 +186,10 @@
   Milliseconds fetch_backoff{0};
   Time next_fetch{};
 
+  /// Whether the data centre is evacuated, at the highest version that an entry has told.
+  std::uint64_t evacuation_version = 0;
+  bool evacuated = false;
+
   bool leaving = false;
   bool departed = false;
   Time leaving_since{};
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/agent/agent_core.h"
+#include "core/agent/outcome_reasons.h"
 
 namespace quetzalvale {
 namespace {
@@ -29,6 +30,7 @@
   const auto& reply = std::get<AnnounceReply>(event.reply);
   this->watchdog.RecordOwnerContact(reply.entry.incarnation, event.sent);
   this->announcer.Answered(event.address, reply, this->now);
+  this->ApplyEvacuation(reply);
   const WithdrawRequest withdrawal{
       reply.entry.incarnation, this->identity.incarnation, {}, /*stop_running=*/true};
   for (const WithdrawItem& item : reply.withdrawn) {
@@ -41,6 +43,8 @@
 void AgentCore::On(const NoticeReceived& event) {
   const AnnounceReply& notice = event.message;
   this->announcer.HandleNotice(notice, this->now);
+  // Before the reply, which tells the entry that the agent knows.
+  this->ApplyEvacuation(notice);
   // Not a contact of the runs' owner: an entry repeats notices to an agent that it does not hear
   // and soon gives up, whose runs must end.
   this->announcer.RecordTraffic(notice.entry.address, this->now);
@@ -49,6 +53,31 @@
   this->FetchConfigurationIfNewer(notice.configuration_version, notice.entry.address);
 }
 
+void AgentCore::ApplyEvacuation(const AnnounceReply& message) {
+  const bool newer = message.evacuation_version > this->evacuation_version;
+  // Entries may read the same version with and without a row that is being written. The row counts.
+  const bool adds = message.evacuation_version == this->evacuation_version && message.evacuated;
+  if (!newer && !adds) {
+    return;
+  }
+  this->evacuation_version = message.evacuation_version;
+  if (message.evacuated == this->evacuated) {
+    return;
+  }
+  this->evacuated = message.evacuated;
+  const std::string version = "version=" + std::to_string(this->evacuation_version);
+  if (!this->evacuated) {
+    this->AddLogEvent(2031, "evacuation_revoked", version);
+    return;
+  }
+  this->AddLogEvent(2030, "evacuated",
+                    version + " running=" + std::to_string(this->store.Running()) +
+                        " queued=" + std::to_string(this->store.Queued()));
+  for (const auto& task : this->store.QueuedTasks()) {
+    this->FinishNotRun(task, kNotRun);
+  }
+}
+
 void AgentCore::On(const EntryDiscovered& event) {
   this->announcer.AddEntry(event.address, this->now);
 }
--- a/src/core/agent/agent_core_starts.cc
+++ b/src/core/agent/agent_core_starts.cc
@@ -112,6 +112,9 @@
   if (this->guards.refuses_starts(this->leaving)) {
     return StartRefusal::kLeaving;
   }
+  if (this->evacuated) {
+    return StartRefusal::kEvacuated;
+  }
   if (this->guards.is_sealed(this->sealed, item.task.ticket)) {
     return StartRefusal::kSealed;
   }
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -56,6 +56,17 @@
   /// Present speed of the worker relative to the expected run times of its tasks, seen from the
   /// runs of all entries; zero while unknown.
   double speed = 0;
+  /// Whether the agent refuses starts because its data centre is evacuated, and the version of the
+  /// store at which this was so; zero if no entry has told the agent.
+  std::uint64_t evacuation_version = 0;
+  bool evacuated = false;
+};
+
+/// The data centres on whose workers nothing may start, complete at this version of the store.
+struct EvacuationSet {
+  /// Zero while the store has not been read.
+  std::uint64_t version = 0;
+  std::vector<std::string> data_centres;
 };
 
 // ---- Starts -------------------------------------------------------------------------------
@@ -107,7 +118,9 @@
   kSealed,
   kExpired,
   kWrongIncarnation,
-  kEndpointDown
+  kEndpointDown,
+  /// The agent's data centre is evacuated.
+  kEvacuated
 };
 
 struct StartReply {
@@ -237,6 +250,10 @@
   /// Tasks to stop, whose withdrawal the agent has not answered yet: the connection that it was
   /// sent on may have gone silent. Only in replies.
   std::vector<WithdrawItem> withdrawn{};
+  /// Whether the agent's data centre is evacuated, at this version of the store. The agent goes by
+  /// the highest version that it has been told; zero states nothing.
+  std::uint64_t evacuation_version = 0;
+  bool evacuated = false;
 };
 
 /// One agent in an owner's roster, the versioned list of the agents that the owner uses.
@@ -283,6 +300,7 @@
   /// omitted.
   std::map<std::pair<std::string, std::string>, double> demand;
   std::map<std::string, std::uint64_t> configuration_versions;
+  EvacuationSet evacuations{};
 };
 
 // ---- Jobs ---------------------------------------------------------------------------------
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -67,7 +67,7 @@
 template <typename T>
 constexpr int kEnumCount = 0;
 template <>
-inline constexpr int kEnumCount<StartRefusal> = static_cast<int>(StartRefusal::kEndpointDown) + 1;
+inline constexpr int kEnumCount<StartRefusal> = static_cast<int>(StartRefusal::kEvacuated) + 1;
 template <>
 inline constexpr int kEnumCount<TaskStatus> = static_cast<int>(TaskStatus::kNotRun) + 1;
 template <>
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -37,6 +37,14 @@
   visit("configuration_version", m.configuration_version);
   visit("leaving", m.leaving);
   visit("speed", m.speed);
+  visit("evacuation_version", m.evacuation_version);
+  visit("evacuated", m.evacuated);
+}
+
+template <typename V>
+void VisitFields(V& visit, EvacuationSet& m) {
+  visit("version", m.version);
+  visit("data_centres", m.data_centres);
 }
 
 template <typename V>
@@ -171,6 +179,8 @@
   visit("member", m.member);
   visit("known", m.known);
   visit("withdrawn", m.withdrawn);
+  visit("evacuation_version", m.evacuation_version);
+  visit("evacuated", m.evacuated);
 }
 
 template <typename V>
@@ -203,6 +213,7 @@
   visit("seen_digest", m.seen_digest);
   visit("demand", m.demand);
   visit("configuration_versions", m.configuration_versions);
+  visit("evacuations", m.evacuations);
 }
 
 template <typename V>
