Entries start nothing in evacuated data centres

EntryCore takes the complete set of evacuated data centres with the store's version (EvacuationsRead); a higher version wins, and sets of one version are merged, because a read of several pages may contain newer rows. Agents of an evacuated data centre get no placements, probes or liveness checks, do not count for admission and not as the last agent that keeps a job waiting. Starts that were not sent are queued again; tasks that may not run yet are withdrawn and placed elsewhere without the retry budget, since all of them return at once.

Every entry that knows tells every agent concerned, at once by a notice that is repeated until the agent reports it, and in replies to announcements and heartbeats. Entries pass the set on in their hellos; an entry without the row also learns from the agent that refuses. A reply to an agent that the entry does not know states nothing.

The simulation gets evacuations, entries that are cut off from the store, restarts, and links that lose one direction.

--- a/src/core/entry/entry_core.cc
+++ b/src/core/entry/entry_core.cc
@@ -160,6 +160,9 @@
   status.roster_number = this->directory.RosterNumber();
   status.peers = this->peers.LivePeers(this->Health().agent_dead, status_time);
   status.counters = this->counters;
+  status.evacuations = this->evacuations.Current();
+  status.evacuations_revoked.assign(this->evacuations.Revoked().begin(),
+                                    this->evacuations.Revoked().end());
   for (const auto& [name, service] : this->services) {
     ServiceStatus entry;
     entry.service = name;
@@ -172,10 +175,10 @@
       if (agent.announce.service != name) {
         continue;
       }
-      entry.agents.push_back({agent.announce.name, incarnation, agent.announce.address,
-                              agent.outstanding.size(), agent.leaving,
-                              !service.health.IsAvailable(agent.announce.name), this->IsLost(agent),
-                              agent.member, agent.announce.load.configuration_version});
+      entry.agents.push_back(
+          {agent.announce.name, incarnation, agent.announce.address, agent.outstanding.size(),
+           agent.leaving, !service.health.IsAvailable(agent.announce.name), this->IsLost(agent),
+           agent.member, this->IsEvacuated(agent), agent.announce.load.configuration_version});
     }
     status.services.push_back(std::move(entry));
   }
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -18,6 +18,7 @@
 #include "core/entry/entry_events.h"
 #include "core/entry/entry_guards.h"
 #include "core/entry/entry_status.h"
+#include "core/entry/evacuations.h"
 #include "core/entry/forward_table.h"
 #include "core/entry/job_table.h"
 #include "core/entry/peer_table.h"
@@ -171,6 +172,7 @@
   void On(const HandOverReplied& event);
   void On(const EntriesRead& event);
   void On(const ConfigurationChanged& event);
+  void On(const EvacuationsRead& event);
   void On(const LeaveRequested& event);
   void On(const Tick& event);
 
@@ -325,6 +327,16 @@
   /// Sends the agent no starts for a while, with exponential backoff.
   void PauseAgent(Agent& agent);
 
+  // Evacuation of data centres (entry_core_evacuation.cc).
+  /// Returns whether the set of evacuated data centres changed. `source` is for the log.
+  bool ApplyEvacuations(const EvacuationSet& read, std::string_view source);
+  /// Whether nothing may start on the agent because its data centre is evacuated.
+  bool IsEvacuated(const Agent& agent) const;
+  /// Queues the agent's tasks that were not sent again, and withdraws those that may not run yet.
+  void TakeBackTasks(Agent& agent);
+  /// Adds to a message for an agent of the data centre whether it is evacuated.
+  void AddEvacuation(std::string_view data_centre, AnnounceReply& reply) const;
+
   // Agents (entry_core_agents.cc).
   void RemoveDeadAgents();
   void RemoveAgent(Incarnation agent, bool replaced);
@@ -412,6 +424,7 @@
   PlacementHook placement_override;
 
   AgentDirectory directory;
+  Evacuations evacuations;
   JobTable jobs;
   StartBatcher batcher;
   /// Withdrawals have to be checked after this event: one was added or the timer fired.
--- a/src/core/entry/entry_core_agents.cc
+++ b/src/core/entry/entry_core_agents.cc
@@ -29,7 +29,9 @@
   }
   // Must precede the reply, which tells the agent whether it is a member.
   this->UpdateMembers();
-  this->Emit(ReplyAnnounce{event.request, this->MakeAnnounceReply(service, agent, 0)});
+  AnnounceReply reply = this->MakeAnnounceReply(service, agent, 0);
+  this->AddEvacuation(announce.data_centre, reply);
+  this->Emit(ReplyAnnounce{event.request, std::move(reply)});
 }
 
 void EntryCore::On(const HeartbeatReceived& event) {
--- a/src/core/entry/entry_core_notices.cc
+++ b/src/core/entry/entry_core_notices.cc
@@ -29,6 +29,7 @@
   notice.configuration_version = service == nullptr ? 0 : service->configuration->version;
   if (agent != nullptr) {
     notice.member = agent->member;
+    this->AddEvacuation(agent->announce.data_centre, notice);
   }
   return notice;
 }
@@ -66,6 +67,10 @@
   if (agent.reply_awaited_since) {
     return true;
   }
+  // Every entry tells the agent: the one that would be chosen to may be cut off from the store.
+  if (this->evacuations.IsNewsFor(agent.announce.data_centre, agent.announce.load)) {
+    return true;
+  }
   // A leaving entry accepts no jobs. It only needs liveness checks, for tasks that still wait.
   if (this->IsLeaving()) {
     return false;
@@ -124,6 +129,11 @@
   agent->notified_version =
       std::max(agent->notified_version, event.sent_notice.configuration_version);
   agent->notified_peers_seen = std::max(agent->notified_peers_seen, event.arrivals);
+  if (event.sent_notice.evacuation_version >= this->evacuations.Version() &&
+      this->evacuations.IsNewsFor(agent->announce.data_centre, agent->announce.load)) {
+    // The agent is of a release that does not report its evacuation.
+    agent->next_notice = this->now + kNoticeRetryDelay;
+  }
 }
 
 }  // namespace quetzalvale
--- a/src/core/entry/entry_core_peers.cc
+++ b/src/core/entry/entry_core_peers.cc
@@ -30,6 +30,7 @@
   Hello hello;
   hello.entry = this->self;
   hello.leaving = this->IsLeaving();
+  hello.evacuations = this->evacuations.Current();
   this->AddRoster(peer, hello);
   this->AddEntriesAndSuccessions(peer, hello);
   if (peer != nullptr) {
@@ -91,6 +92,7 @@
 }
 
 bool EntryCore::ProcessHello(const Hello& hello) {
+  this->ApplyEvacuations(hello.evacuations, hello.entry.address);
   const bool complete = this->peers.ApplyHello(hello, this->now);
   const Incarnation& sender = hello.entry.incarnation;
   const Peer* peer = this->peers.Find(sender);
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -147,15 +147,20 @@
     this->TryAnswer(job);
     return;
   }
+  bool evacuated = false;
   if (Agent* agent = this->directory.Find(task.agent)) {
     agent->outstanding.erase(ref);
     agent->withdrawals.Remove(ref);
+    evacuated = this->IsEvacuated(*agent);
   }
-  ++task.refusals;
+  // All tasks that waited in an evacuated data centre return at once, more than the retry budget
+  // covers. They cannot return from there again.
+  task.refusals += evacuated ? 0 : 1;
   task.state = JobTaskState::kWaiting;
   task.agent = {};
   task.channel_sequence = 0;
   ServiceState& service = *this->FindService(job.ticket.service);
+  service.jobs_at_risk = service.jobs_at_risk || evacuated;
   QueueTask(service, job, ref.index);
 }
 
@@ -172,16 +177,18 @@
 void EntryCore::QueueRerun(Job& job, std::uint32_t index) {
   const TaskRef ref{job.id, index};
   Task& task = job.tasks[index];
+  ServiceState& service = *this->FindService(job.ticket.service);
   if (Agent* agent = this->directory.Find(task.agent)) {
     agent->outstanding.erase(ref);
     agent->withdrawals.Remove(ref);
+    service.jobs_at_risk = service.jobs_at_risk || this->IsEvacuated(*agent);
   }
   task.state = JobTaskState::kWaiting;
   task.agent = {};
   task.channel_sequence = 0;
   task.runs = false;
   task.ran_before = true;
-  QueueTask(*this->FindService(job.ticket.service), job, index);
+  QueueTask(service, job, index);
 }
 
 void EntryCore::Withdraw(const TaskRef& ref, bool stop_running) {
@@ -310,7 +317,8 @@
       return;
     }
     // The endpoint refused the task although the agent assumed that it had capacity.
-    if (Agent* refusing = this->directory.Find(incarnation)) {
+    Agent* refusing = this->directory.Find(incarnation);
+    if (refusing != nullptr && !this->IsEvacuated(*refusing)) {
       this->PauseAgent(*refusing);
     }
     this->OnProvenNotRun({job->id, index});
--- a/src/core/entry/entry_events.h
+++ b/src/core/entry/entry_events.h
@@ -149,6 +149,11 @@
 struct ConfigurationChanged {
   std::shared_ptr<const ServiceConfiguration> configuration;
 };
+/// The complete set of evacuated data centres, read from the platform. Ignored unless its version
+/// is the newest known.
+struct EvacuationsRead {
+  EvacuationSet evacuations;
+};
 /// Requests a graceful departure. EntryCore reports its completion by Departed.
 struct LeaveRequested {};
 /// Drives timers. Sent at least every 10 ms while jobs are in progress and every 100 ms
@@ -160,7 +165,8 @@
                  CallerDisconnected, AgentAnnounced, HeartbeatReceived, NoticeReplied, StartReplied,
                  WithdrawReplied, SealReplied, OutcomesReceived, HelloReceived, HelloReplied,
                  ForwardReceived, ForwardReplied, AnswerReceived, AnswerReplied, HandOverReceived,
-                 HandOverReplied, EntriesRead, ConfigurationChanged, LeaveRequested, Tick>;
+                 HandOverReplied, EntriesRead, ConfigurationChanged, EvacuationsRead,
+                 LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
--- a/src/core/entry/entry_status.h
+++ b/src/core/entry/entry_status.h
@@ -25,6 +25,8 @@
   bool lost = false;
   /// Belongs to the subset of agents that this entry uses.
   bool member = false;
+  /// Takes no starts because its data centre is evacuated.
+  bool evacuated = false;
   /// Version in the agent's last report.
   std::uint64_t configuration_version = 0;
 };
@@ -64,6 +66,9 @@
   std::uint64_t roster_number = 0;
   std::vector<ServiceStatus> services;
   std::vector<EntryInfo> peers;
+  EvacuationSet evacuations{};
+  /// Data centres whose evacuation was revoked while this process ran.
+  std::vector<std::string> evacuations_revoked{};
   EntryCounters counters;
 };
 
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -32,13 +32,15 @@
 
 /// Counts the agents of all services by what this entry believes of them.
 void AddAgents(Metrics& metrics, const EntryStatus& status) {
-  std::map<std::string, double> states{{"in_use", 0}, {"leaving", 0}, {"ejected", 0}, {"lost", 0}};
+  std::map<std::string, double> states{
+      {"in_use", 0}, {"leaving", 0}, {"ejected", 0}, {"lost", 0}, {"evacuated", 0}};
   for (const auto& service : status.services) {
     for (const auto& agent : service.agents) {
-      const char* state = agent.leaving   ? "leaving"
-                          : agent.lost    ? "lost"
-                          : agent.ejected ? "ejected"
-                                          : "in_use";
+      const char* state = agent.leaving     ? "leaving"
+                          : agent.lost      ? "lost"
+                          : agent.evacuated ? "evacuated"
+                          : agent.ejected   ? "ejected"
+                                            : "in_use";
       ++states[state];
     }
   }
@@ -47,6 +49,16 @@
   }
 }
 
+void AddEvacuations(Metrics& metrics, const EntryStatus& status) {
+  metrics.Set("evacuation_version", static_cast<double>(status.evacuations.version));
+  for (const std::string& name : status.evacuations_revoked) {
+    metrics.Set("data_centre_evacuated", 0, {{"data_centre", name}});
+  }
+  for (const std::string& name : status.evacuations.data_centres) {
+    metrics.Set("data_centre_evacuated", 1, {{"data_centre", name}});
+  }
+}
+
 }  // namespace
 
 std::string RenderMetrics(Metrics& metrics, const EntryStatus& status,
@@ -54,6 +66,7 @@
   ReportProcess(metrics);
   AddCounters(metrics, status.counters);
   AddAgents(metrics, status);
+  AddEvacuations(metrics, status);
   double queued = 0;
   double jobs = 0;
   for (const auto& service : status.services) {
--- a/src/entry/status_json.cc
+++ b/src/entry/status_json.cc
@@ -15,6 +15,7 @@
   json["ejected"] = agent.ejected;
   json["lost"] = agent.lost;
   json["member"] = agent.member;
+  json["evacuated"] = agent.evacuated;
   json["configuration_version"] = static_cast<Json::UInt64>(agent.configuration_version);
   return json;
 }
@@ -56,6 +57,7 @@
   for (const auto& service : status.services) {
     json["services"].append(RenderService(service));
   }
+  json["evacuations"] = Encode(status.evacuations);
   json["peers"] = Encode(status.peers);
   return json;
 }
--- a/tests/core/simulation.cc
+++ b/tests/core/simulation.cc
@@ -8,6 +8,10 @@
 
 constexpr const char* kService = "orders";
 constexpr Milliseconds kCallTimeout{800};
+/// An entry sees a change of the store's table within this time, in milliseconds.
+constexpr int kPollMs = 1000;
+/// No start in an evacuated data centre later than this after the store acknowledged the row.
+constexpr Milliseconds kEvacuationBound{5000};
 
 std::string ExpectedResult(const TaskKey& task, const std::string& payload) {
   return "\"" + std::to_string(task.index) + ":" + payload + "\"";
@@ -100,13 +104,18 @@
   if (is_entry) {
     process.entry = std::make_unique<EntryCore>(process.info, std::vector<std::string>{kService},
                                                 seeds, this->random());
-    this->HandleEntry(process, ConfigurationChanged{this->configuration});
+    if (this->settings.evacuations) {
+      this->ReadEvacuations(process);
+    } else {
+      this->HandleEntry(process, ConfigurationChanged{this->configuration});
+    }
   } else {
     AgentIdentity identity;
     identity.incarnation = incarnation;
     identity.name = address;
     identity.service = kService;
-    identity.data_centre = "dc";
+    identity.data_centre =
+        this->settings.evacuations ? std::string("dc") + address.back() : std::string("dc");
     identity.address = address;
     identity.worker = {3, 64, 16, 32768, 0};
     process.agent = std::make_unique<AgentCore>(identity, seeds);
@@ -400,6 +409,8 @@
         });
   } else if (const auto* noticed = std::get_if<ReplyNotice>(&action)) {
     this->DeliverReply(noticed->request, noticed->reply);
+  } else if (const auto* log = std::get_if<LogEvent>(&action)) {
+    ++this->counts[log->name];
   } else if (std::holds_alternative<Departed>(action)) {
     process.alive = false;
     this->ScheduleAfter(this->RandomDuration(10, 500),
@@ -418,6 +429,13 @@
     return;
   }
   ++this->counts["started"];
+  const auto evacuated = this->evacuated_since.find(std::string("dc") + process.address.back());
+  if (evacuated != this->evacuated_since.end()) {
+    ++this->counts["started_during_evacuation"];
+    if (this->now - evacuated->second > kEvacuationBound) {
+      this->violations.push_back("start in an evacuated data centre: " + start.task.Text());
+    }
+  }
   if (!this->started.insert(start.task).second) {
     this->violations.push_back("task started twice: " + start.task.Text());
   }
@@ -625,6 +643,71 @@
   }
 }
 
+void Simulation::ReadEvacuations(const Process& process) {
+  const Time time =
+      std::max(this->now + this->RandomDuration(0, kPollMs), process.cut_from_store_until);
+  this->ScheduleAt(time, [this, address = process.address, generation = process.generation] {
+    this->RunInProcess(address, generation, [this](Process& entry) {
+      if (entry.cut_from_store_until > this->now) {
+        this->ReadEvacuations(entry);
+        return;
+      }
+      EvacuationSet read{this->store_version, {}};
+      for (const auto& [name, since] : this->evacuated_since) {
+        read.data_centres.push_back(name);
+      }
+      this->HandleEntry(entry, EvacuationsRead{std::move(read)});
+      // An entry has no configuration before it has read the table, which contains it.
+      this->HandleEntry(entry, ConfigurationChanged{this->configuration});
+    });
+  });
+}
+
+void Simulation::ChangeEvacuation() {
+  const std::string name = "dc" + std::to_string(this->random() % 3);
+  ++this->store_version;
+  ++this->counts["evacuation_changed"];
+  if (this->evacuated_since.erase(name) == 0) {
+    this->evacuated_since[name] = this->now;
+  }
+  for (auto& [address, process] : this->processes) {
+    if (process.entry && process.alive) {
+      this->ReadEvacuations(process);
+    }
+  }
+  // If no entry reaches the store, none can learn of the row, and no bound holds.
+  const std::string cut = this->RandomEntry();
+  const bool another_reads = std::ranges::any_of(this->processes, [&](const auto& element) {
+    return element.second.entry && element.first != cut &&
+           element.second.cut_from_store_until <= this->now;
+  });
+  if (another_reads && this->Chance(0.7)) {
+    ++this->counts["cut_from_store"];
+    this->processes[cut].cut_from_store_until = this->now + this->RandomDuration(1000, 30000);
+  }
+  if (this->Chance(0.5)) {
+    const std::pair link(this->RandomEntry(), this->RandomAgent());
+    this->blocked_links.insert(link);
+    this->ScheduleAfter(this->RandomDuration(50, 4000),
+                        [this, link] { this->blocked_links.erase(link); });
+  }
+  if (this->Chance(0.5)) {
+    const bool is_entry = this->Chance(0.3);
+    const std::string address = is_entry ? this->RandomEntry() : this->RandomAgent();
+    this->ScheduleAfter(this->RandomDuration(0, 6000),
+                        [this, address, is_entry] { this->Replace(address, is_entry); });
+  }
+}
+
+void Simulation::Replace(const std::string& address, bool is_entry) {
+  if (!std::exchange(this->processes[address].alive, false)) {
+    return;
+  }
+  ++this->counts["replaced"];
+  this->ScheduleAfter(this->RandomDuration(10, 2000),
+                      [this, address, is_entry] { this->StartProcess(address, is_entry); });
+}
+
 void Simulation::Run(Milliseconds faulty_time, Milliseconds quiet) {
   const Time faulty_end = this->now + faulty_time;
   const Time end = faulty_end + quiet;
@@ -642,7 +725,16 @@
           fault);
     }
   };
+  std::function<void()> evacuation = [&] {
+    if (this->now < faulty_end) {
+      this->ChangeEvacuation();
+      this->ScheduleAfter(this->RandomDuration(1000, 15000), evacuation);
+    }
+  };
   this->ScheduleAfter(Milliseconds(500), job);
+  if (this->settings.evacuations) {
+    this->ScheduleAfter(Milliseconds(3000), evacuation);
+  }
   if (this->settings.mean_fault_interval.count() > 0) {
     this->ScheduleAfter(Milliseconds(500), fault);
   }
--- a/tests/core/simulation.h
+++ b/tests/core/simulation.h
@@ -25,6 +25,10 @@
   /// Mean time between faults of processes and links; zero means no such faults.
   Milliseconds mean_fault_interval{400};
   Milliseconds job_interval{4};
+  /// Evacuates and revokes data centres, cuts entries off from the store, and replaces processes.
+  /// Agents then belong to three data centres. Not to be combined with other faults of processes,
+  /// since a suspended agent may start tasks that are not repeatable when it resumes.
+  bool evacuations = false;
   double task_failure_probability = 0.01;
 };
 
@@ -58,6 +62,7 @@
     std::unique_ptr<AgentCore> agent;
     EntryInfo info;
     bool leaving = false;
+    Time cut_from_store_until{};
   };
   struct ScheduledAction {
     Time time;
@@ -112,6 +117,12 @@
   void ResubmitJob(std::shared_ptr<JobRequest> job_request);
   void SubmitTo(const std::string& address, const std::shared_ptr<JobRequest>& job_request);
   void InjectFault();
+  /// Changes one evacuation and lets the entries learn of it.
+  void ChangeEvacuation();
+  /// Lets the entry read the store's table at a time within the polling interval, or later if it is
+  /// cut off from the store.
+  void ReadEvacuations(const Process& process);
+  void Replace(const std::string& address, bool is_entry);
   std::string RandomEntry();
   std::string RandomAgent();
   std::shared_ptr<ServiceConfiguration> MakeConfiguration();
@@ -133,6 +144,9 @@
   std::set<std::pair<std::string, std::string>> blocked_links;
   std::vector<Ticket> tickets;
   std::map<std::string, Ticket> claimed_keys;
+  /// The store's table of evacuations, with the time of each row, and its version.
+  std::map<std::string, Time> evacuated_since;
+  std::uint64_t store_version = 1;
   std::set<TaskKey> started;
   std::set<Ticket> started_tickets;
   std::set<Ticket> not_run_tickets;
