--- a/tests/adapter/entry_rows_test.cc
+++ b/tests/adapter/entry_rows_test.cc
@@ -50,6 +50,14 @@
   EXPECT_EQ(Addresses(this->table), (std::vector<std::string>{"10.0.0.2:7000", "10.0.0.3:7000"}));
 }
 
+// An unreadable value says nothing about the entry, whose last address stays in use.
+TEST_F(EntryRowTableTest, UnreadableRowChangesNothing) {
+  StoreRow unreadable = Row("front-a", "", 5);
+  unreadable.unreadable = true;
+  this->table.Apply({unreadable}, Scope::kChanges);
+  EXPECT_EQ(Addresses(this->table).size(), 3U);
+}
+
 // Guards against the return of an entry that left while the store's history was lost: the removal
 // of its row is then not among the changes.
 TEST_F(EntryRowTableTest, ReadOfTheWholeTableDropsRowsThatAreGone) {
