Entries pass on what agents report of their evacuation

An entry that is cut off from the store and from other entries learned of an evacuation for each agent only from that agent's reports. An agent that restarted reported nothing, so such an entry could start a task there before the agent had heard from another entry. The entry now keeps the newest report by data centre, applies it to all agents there and tells it to them.

Failing first: EntryWithoutTheRowDoesNotUseAnAgentThatRestarted. The simulation now also cuts entries off from other entries.

--- a/src/core/entry/entry_core_agents.cc
+++ b/src/core/entry/entry_core_agents.cc
@@ -11,6 +11,7 @@
 void EntryCore::On(const AgentAnnounced& event) {
   ++this->counters.announcements_received;
   const Announce& announce = event.announce;
+  this->evacuations.Learn(announce.data_centre, announce.load);
   ServiceState* service = this->FindService(announce.service);
   Agent* agent = nullptr;
   if (service != nullptr) {
--- a/src/core/entry/entry_core_evacuation.cc
+++ b/src/core/entry/entry_core_evacuation.cc
@@ -64,8 +64,9 @@
 }
 
 void EntryCore::AddEvacuation(std::string_view data_centre, AnnounceReply& reply) const {
-  reply.evacuation_version = this->evacuations.Version();
-  reply.evacuated = this->evacuations.Contains(data_centre);
+  const Evacuations::State known = this->evacuations.StateOf(data_centre);
+  reply.evacuation_version = known.version;
+  reply.evacuated = known.evacuated;
 }
 
 }  // namespace quetzalvale
--- a/src/core/entry/entry_core_notices.cc
+++ b/src/core/entry/entry_core_notices.cc
@@ -124,12 +124,14 @@
     return;
   }
   this->directory.RecordReport(event.agent, &reply->load, this->now);
+  this->evacuations.Learn(agent->announce.data_centre, reply->load);
   agent->reply_awaited_since.reset();
   agent->notified_member = event.sent_notice.member;
   agent->notified_version =
       std::max(agent->notified_version, event.sent_notice.configuration_version);
   agent->notified_peers_seen = std::max(agent->notified_peers_seen, event.arrivals);
-  if (event.sent_notice.evacuation_version >= this->evacuations.Version() &&
+  if (event.sent_notice.evacuation_version >=
+          this->evacuations.StateOf(agent->announce.data_centre).version &&
       this->evacuations.IsNewsFor(agent->announce.data_centre, agent->announce.load)) {
     // The agent is of a release that does not report its evacuation.
     agent->next_notice = this->now + kNoticeRetryDelay;
--- a/src/core/entry/entry_core_speed.cc
+++ b/src/core/entry/entry_core_speed.cc
@@ -67,6 +67,7 @@
   const bool was_evacuated = known != nullptr && this->IsEvacuated(*known);
   this->directory.RecordReport(incarnation, &load, this->now);
   if (Agent* agent = this->directory.Find(incarnation)) {
+    this->evacuations.Learn(agent->announce.data_centre, load);
     if (!was_evacuated && this->IsEvacuated(*agent)) {
       // Another entry has told the agent. Jobs here may have lost their last agent.
       this->FindService(agent->announce.service)->jobs_at_risk = true;
--- a/src/core/entry/evacuations.h
+++ b/src/core/entry/evacuations.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -20,9 +21,16 @@
   /// rows that are newer than the version it names.
   bool Update(const EvacuationSet& read);
 
-  bool Contains(std::string_view data_centre) const {
-    return this->data_centres.contains(data_centre);
-  }
+  /// Records what an agent of the data centre was told. An entry that is cut off from the store and
+  /// from other entries learns from it, also for other agents there and for one that restarts.
+  void Learn(const std::string& data_centre, const AgentLoad& load);
+
+  struct State {
+    std::uint64_t version = 0;
+    bool evacuated = false;
+  };
+  /// Returns the newest that is known of the data centre.
+  State StateOf(std::string_view data_centre) const;
 
   /// Whether nothing may start on an agent of this data centre that reports the given load. An
   /// agent may have been told of a newer version by another entry. One that has not heard of the
@@ -43,6 +51,8 @@
   std::uint64_t version = 0;
   std::set<std::string, std::less<>> data_centres;
   std::set<std::string, std::less<>> revoked;
+  /// What agents reported, by data centre, as long as it is newer than `version`.
+  std::map<std::string, State, std::less<>> reported;
 };
 
 }  // namespace quetzalvale
--- a/tests/core/evacuation_test.cc
+++ b/tests/core/evacuation_test.cc
@@ -248,6 +248,17 @@
   EXPECT_FALSE(this->IsUsed(kNorth));
 }
 
+// The restarted agent has not heard from an entry that knows, and would take the start.
+TEST_F(EvacuationTest, EntryWithoutTheRowDoesNotUseAnAgentThatRestarted) {
+  this->Heard(kNorth, Load(7, true));
+  const AnnounceReply reply = this->Announced({5, 9}, "north");
+  EXPECT_TRUE(reply.evacuated);
+  EXPECT_EQ(reply.evacuation_version, 7U);
+  EXPECT_FALSE(this->IsUsed({5, 9}));
+  this->Heard({5, 9}, Load(8, false));
+  EXPECT_TRUE(this->IsUsed({5, 9})) << "another entry has told it of the revocation";
+}
+
 TEST_F(EvacuationTest, EntryWithoutTheRowLearnsFromAnotherEntry) {
   Hello hello;
   hello.entry = {kPeer, "peer", "dc"};
--- a/tests/core/simulation.cc
+++ b/tests/core/simulation.cc
@@ -683,7 +683,13 @@
   });
   if (another_reads && this->Chance(0.7)) {
     ++this->counts["cut_from_store"];
-    this->processes[cut].cut_from_store_until = this->now + this->RandomDuration(1000, 30000);
+    const Time until = this->now + this->RandomDuration(1000, 30000);
+    this->processes[cut].cut_from_store_until = until;
+    if (this->Chance(0.5)) {
+      // Only the agents can tell it.
+      this->SetPeerLinks(cut, false);
+      this->ScheduleAt(until, [this, cut] { this->SetPeerLinks(cut, true); });
+    }
   }
   if (this->Chance(0.5)) {
     const std::pair link(this->RandomEntry(), this->RandomAgent());
@@ -699,6 +705,19 @@
   }
 }
 
+void Simulation::SetPeerLinks(const std::string& entry, bool open) {
+  for (int i = 0; i < this->settings.entries; ++i) {
+    const std::string peer = "entry" + std::to_string(i);
+    for (const auto& link : {std::pair(entry, peer), std::pair(peer, entry)}) {
+      if (open) {
+        this->blocked_links.erase(link);
+      } else {
+        this->blocked_links.insert(link);
+      }
+    }
+  }
+}
+
 void Simulation::Replace(const std::string& address, bool is_entry) {
   if (!std::exchange(this->processes[address].alive, false)) {
     return;
--- a/tests/core/simulation.h
+++ b/tests/core/simulation.h
@@ -122,6 +122,8 @@
   /// Lets the entry read the store's table at a time within the polling interval, or later if it is
   /// cut off from the store.
   void ReadEvacuations(const Process& process);
+  /// Opens or blocks all links between the entry and other entries.
+  void SetPeerLinks(const std::string& entry, bool open);
   void Replace(const std::string& address, bool is_entry);
   std::string RandomEntry();
   std::string RandomAgent();
