Entries select the jobs to serve in an overload

Accepted jobs waited until they were late and kept later arrivals from being on time. With "overload": {"select": true} in the service's document, EntryCore asks OverloadPolicy when tasks are left waiting, at most every 10 ms, and when a job arrives that does not fit. Waiting jobs that are not selected and of which nothing has run are refused as not run (event 1049, jobs_turned_away_total); event 1041 has the inputs for arriving ones. While tasks wait, new jobs start only after a decision that includes them, and the tasks of selected jobs start in the order of their latest start. The adapter sets the switch for services whose routes have different priorities.

--- a/src/core/entry/entry_core.cc
+++ b/src/core/entry/entry_core.cc
@@ -94,7 +94,9 @@
     if (std::exchange(service.jobs_at_risk, false)) {
       this->FailJobsWithoutAgents(service);
     }
+    this->SelectWaitingJobs(service);
     this->PlaceTasks(service);
+    this->RecordPlacements(service);
   }
   this->SendNotices();
   this->SendStarts();
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -67,6 +67,8 @@
     bool not_run = false;
     /// The load on which the decision was based; empty if the refusal does not depend on load.
     std::optional<LoadView> load{};
+    /// Log text with the inputs of the decision of OverloadPolicy; empty if it made none.
+    std::string overload_inputs{};
   };
 
   /// A job being recovered from the agents' records because the ticket's owner is gone.
@@ -218,6 +220,30 @@
   static Microseconds LongestExpectedRun(const ServiceState& service, const Submission& submission);
   static Milliseconds EffectiveDeadline(const ServiceState& service, const Submission& submission);
 
+  // Selection in an overload (entry_core_overload.cc).
+  /// Failure reason of a job that was turned away while it waited.
+  static constexpr const char* kTurnedAway = "turned_away";
+  /// Whether jobs like this one are selected in an overload instead of being checked on arrival
+  /// only.
+  static bool IsSelecting(const ServiceState& service, const Submission& submission);
+  /// Makes a decision that includes the arriving job, unless all jobs fit or one was made only just
+  /// now. The job then waits for the next one.
+  std::optional<Refusal> CheckOverload(ServiceState& service, const Submission& submission,
+                                       const LoadView& load);
+  void ClassifyJob(ServiceState& service, Job& job) const;
+  /// Turns away waiting jobs if a decision is due.
+  void SelectWaitingJobs(ServiceState& service);
+  /// Decides, and turns away the jobs that were not selected. Returns the inputs of the decision if
+  /// the arriving job is among them.
+  std::optional<std::string> SelectJobs(ServiceState& service,
+                                        const std::optional<OverloadJob>& arriving);
+  /// The jobs that have waiting tasks. From now on they do not await a decision.
+  std::vector<OverloadJob> CollectWaitingJobs(const ServiceState& service);
+  OverloadCapacity MeasureCapacity(const ServiceState& service) const;
+  /// Record what one placement round has placed, and one placed task.
+  void RecordPlacements(ServiceState& service) const;
+  void RecordPlacement(ServiceState& service, Job& job, const Task& task) const;
+
   // Answers (entry_core_jobs.cc).
   void Deliver(const Waiter& waiter, Answer answer);
   void Refuse(const Waiter& waiter, const Refusal& refusal, const std::optional<Ticket>& ticket);
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -169,6 +169,11 @@
     answer.error = ErrorKind::kTicketExpired;
     answer.reason.clear();
   }
+  if (answer.not_run && answer.reason == kTurnedAway) {
+    answer.status = AnswerStatus::kRefused;
+    answer.error = ErrorKind::kOverloaded;
+    answer.reason.clear();
+  }
   this->AnswerJob(job, std::move(answer));
 }
 
--- a/src/core/entry/entry_core_load.cc
+++ b/src/core/entry/entry_core_load.cc
@@ -101,7 +101,7 @@
     job.overtakes_at = StartQueue::OvertakesAt(this->now, ScheduleOf(*target, longest));
     load.target =
         LoadView::Target{std::chrono::duration_cast<Microseconds>(target->on_time - this->now),
-                         longest, capacity, reachable};
+                         longest, capacity, reachable, IsSelecting(service, submission)};
   }
   load.overtakes_after = std::chrono::duration_cast<Microseconds>(job.overtakes_at - this->now);
   job.completed_before_overtaking = Microseconds(
--- a/src/core/entry/entry_core_repeatable.cc
+++ b/src/core/entry/entry_core_repeatable.cc
@@ -85,6 +85,9 @@
             " own_runs=" + whole(load.target->capacity.own_runs) +
             " queued_ms=" + std::to_string(load.target->capacity.queued_work.count() / 1000);
   }
+  if (!refusal.overload_inputs.empty()) {
+    line += " " + refusal.overload_inputs;
+  }
   this->Log(1041, "job_rejected", std::move(line));
 }
 
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -156,6 +156,7 @@
   task.agent = {};
   task.channel_sequence = 0;
   ServiceState& service = *this->FindService(job.ticket.service);
+  service.placed_work -= task.expected;
   QueueTask(service, job, ref.index);
 }
 
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -176,6 +176,12 @@
   if (job.target) {
     waiting.schedule = ScheduleOf(*job.target, waiting.expected);
   }
+  if (job.overload_class) {
+    // The selected jobs can all be on time if those with the least time go first; urgency counts in
+    // the selection.
+    waiting.urgency = 0;
+    waiting.deadline = waiting.schedule->latest_on_time;
+  }
   service.queue.Add(waiting);
 }
 
@@ -198,7 +204,8 @@
       return;
     }
     Job& job = *this->jobs.Find(next->job);
-    if (job.deadline <= this->now) {
+    const bool held = job.awaits_selection && service.configuration->overload.select;
+    if (job.deadline <= this->now || held) {
       continue;
     }
     const TaskClass task_class{job.id, DeclaredBy(job.tasks[next->index].spec)};
@@ -372,6 +379,7 @@
   Agent& agent = *usable.agent;
   const TaskRef ref{job.id, index};
   service.queue.Take(ref);
+  this->RecordPlacement(service, job, task);
   if (task.refusals == 0) {
     service.retry_budget.Earn();
   } else {
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -257,6 +257,9 @@
   if (this->jobs.Size() >= kMaxJobs || bytes > kMaxPayloadBytes) {
     return Refusal{ErrorKind::kOverloaded, "too many jobs are in progress; submit again later"};
   }
+  if (auto refusal = this->CheckOverload(service, submission, load)) {
+    return refusal;
+  }
   // Teams that are not configured have no quota state: callers could invent any number of names.
   const auto count = static_cast<std::uint32_t>(submission.tasks.size());
   if (service.configuration->FindTeam(submission.team) != nullptr &&
@@ -294,6 +297,9 @@
     service.team_arrivals[fresh.team].Add(0, task.expected, this->now);
     fresh.tasks.push_back(std::move(task));
   }
+  if (fresh.target && IsSelecting(service, submission)) {
+    this->ClassifyJob(service, fresh);
+  }
   Job& job = this->jobs.Add(std::move(fresh));
   for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
     QueueTask(service, job, index);
--- a/src/core/entry/entry_status.h
+++ b/src/core/entry/entry_status.h
@@ -54,6 +54,8 @@
   /// Keyed by Answer::reason.
   std::map<std::string, std::uint64_t> jobs_failed;
   std::map<ErrorKind, std::uint64_t> jobs_refused;
+  /// Jobs turned away by the selection in an overload, by reason; also in jobs_refused.
+  std::map<std::string, std::uint64_t> jobs_turned_away;
   /// Tasks sent in start messages, including those that the agent refused.
   std::uint64_t tasks_started = 0;
 };
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -16,6 +16,7 @@
 #include "core/entry/entry_events.h"
 #include "core/messages.h"
 #include "core/policy/answer_target.h"
+#include "core/policy/overload_policy.h"
 #include "core/types.h"
 
 namespace quetzalvale {
@@ -115,6 +116,11 @@
   Time deadline{};
   /// Set for repeatable jobs only; the answer of other jobs is useful until the deadline.
   std::optional<AnswerTarget> target;
+  /// Set if the job takes part in the selection in an overload; see OverloadPolicy.
+  std::optional<OverloadClass> overload_class;
+  /// None of its tasks starts before the next decision.
+  bool awaits_selection = false;
+  bool counted_as_served = false;
   std::vector<Task> tasks;
   std::vector<Waiter> waiters;
   /// Number of tasks that have not ended, and of those that succeeded.
--- a/src/core/entry/service_state.h
+++ b/src/core/entry/service_state.h
@@ -8,11 +8,13 @@
 #include "core/entry/ticket_ledger.h"
 #include "core/policy/arrival_rates.h"
 #include "core/policy/health_tracker.h"
+#include "core/policy/overload_policy.h"
 #include "core/policy/placement.h"
 #include "core/policy/quota_table.h"
 #include "core/policy/retry_budget.h"
 #include "core/policy/run_time_model.h"
 #include "core/policy/start_queue.h"
+#include "core/policy/start_rate.h"
 #include "core/service_configuration.h"
 
 namespace quetzalvale {
@@ -41,6 +43,14 @@
   Time fast_slots_reserved_until{};
   /// No tasks are placed before this time, because many could not be placed in the last round.
   Time next_placement{};
+  /// Selection of jobs in an overload.
+  OverloadPolicy overload;
+  StartRate start_rate;
+  /// Expected run time of the tasks placed since the last call of StartRate::RecordRound, less that
+  /// of tasks whose start was refused.
+  Microseconds placed_work{0};
+  Time last_selection{};
+  Time next_selection{};
   /// While the retry budget is empty, one placement may be retried at this time.
   Time next_unbudgeted_retry{};
   /// Agents of the service were added, removed or changed since the members were last chosen.
--- a/src/core/policy/admission.cc
+++ b/src/core/policy/admission.cc
@@ -143,6 +143,9 @@
                          std::to_string(target.longest.count() / 1000) +
                          " ms, in time at its present speed; submit again later");
   }
+  if (target.is_selected) {
+    return std::nullopt;
+  }
   const Microseconds wait = ExpectedWait(target.capacity, submission.tasks.size());
   if (IsWaitAcceptable(wait, target.time, target.longest)) {
     return std::nullopt;
--- a/src/core/policy/admission.h
+++ b/src/core/policy/admission.h
@@ -35,6 +35,8 @@
     CapacityView capacity;
     /// Some endpoint could end the longest task while its answer is of use.
     bool reachable = true;
+    /// The wait is not limited here, because OverloadPolicy selects the jobs.
+    bool is_selected = false;
   };
   std::optional<Target> target;
   bool has_agents = false;
--- a/src/core/policy/overload_policy.cc
+++ b/src/core/policy/overload_policy.cc
@@ -92,14 +92,19 @@
   return number;
 }
 
-OverloadClass OverloadPolicy::Classify(std::string_view kind, std::string_view team,
-                                       std::string_view data_centre, Microseconds work) {
+void OverloadPolicy::RecordSize(std::string_view kind, Microseconds work) {
   auto found = this->sizes.find(kind);
   if (found == this->sizes.end()) {
     found = this->sizes.emplace(std::string(kind), Sizes{}).first;
   }
   found->second.Record(work);
-  const Microseconds limit = found->second.largest_tenth_above;
+}
+
+OverloadClass OverloadPolicy::Classify(std::string_view kind, std::string_view team,
+                                       std::string_view data_centre, Microseconds work) {
+  const auto found = this->sizes.find(kind);
+  const Microseconds limit =
+      found == this->sizes.end() ? Microseconds::max() : found->second.largest_tenth_above;
   return {{this->GroupNumber('k', kind), work > limit ? this->GroupNumber('l', kind) : 0,
            this->GroupNumber('t', team), this->GroupNumber('d', data_centre)},
           std::min(work, limit)};
--- a/src/core/policy/overload_policy.h
+++ b/src/core/policy/overload_policy.h
@@ -93,8 +93,11 @@
   /// leave no room for a large one.
   static constexpr double kOverbookingFloor = 0.85;
 
-  /// Classifies a new job and records its size. `work` is the total expected run time of its tasks.
-  /// To be called once for each job.
+  /// Records the size of a new job: the total expected run time of its tasks. To be called once for
+  /// each job, whether it is accepted or not.
+  void RecordSize(std::string_view kind, Microseconds work);
+
+  /// Classifies a job whose size has been recorded.
   OverloadClass Classify(std::string_view kind, std::string_view team, std::string_view data_centre,
                          Microseconds work);
 
--- a/src/core/policy/start_rate.h
+++ b/src/core/policy/start_rate.h
@@ -21,6 +21,9 @@
   /// counts until enough starts have been observed.
   double Slots(double running) const;
 
+  /// Whether tasks were left waiting by the last round.
+  bool IsBacklogged() const { return this->backlogged; }
+
  private:
   bool backlogged = false;
   Time last_round{};
--- a/src/core/service_configuration.h
+++ b/src/core/service_configuration.h
@@ -99,6 +99,11 @@
   /// Number of agents that an entry uses. A service with no more agents than this is used whole by
   /// every entry.
   std::uint32_t subset_size = 64;
+  struct Overload {
+    /// Repeatable jobs with a target are selected by OverloadPolicy when not all can be on time.
+    bool select = false;
+  } overload;
+
   /// Run time of a task whose data is on another rack, as a multiple of that near its data.
   double remote_data_factor = 1;
 
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -25,6 +25,9 @@
   for (const auto& [reason, count] : counters.jobs_failed) {
     set("jobs_failed_total", count, {{"reason", reason}});
   }
+  for (const auto& [reason, count] : counters.jobs_turned_away) {
+    set("jobs_turned_away_total", count, {{"reason", reason}});
+  }
   for (const auto& [kind, count] : counters.jobs_refused) {
     set("jobs_refused_total", count, {{"reason", ErrorKindText(kind)}});
   }
--- a/src/runtime/metric_names.cc
+++ b/src/runtime/metric_names.cc
@@ -29,6 +29,7 @@
     {"jobs_rejected_unread_total",
      "Jobs rejected before they were read, by a busy or leaving entry."},
     {"jobs_total", "Jobs taken and answered, by kind and outcome."},
+    {"jobs_turned_away_total", "Jobs turned away by the selection in an overload, by reason."},
     {"lease_renewals_total", "Renewals of leases at the endpoint."},
     {"log_lines_dropped_total", "Log lines left out by the budget or a full writer."},
     {"messages_sent_total", "Messages sent to callers, endpoints and processes of the system."},
--- a/src/settings/service_document.cc
+++ b/src/settings/service_document.cc
@@ -119,7 +119,11 @@
     "subset_size": {"type": "integer", "minimum": 1, "maximum": 100000,
       "description": "1 to 100000"},
     "remote_data_factor": {"type": "number", "minimum": 1, "maximum": 1000,
-      "description": "run time on another rack than the data's over that near the data, 1 to 1000"}
+      "description": "run time on another rack than the data's over that near the data, 1 to 1000"},
+    "overload": {"type": "object", "additionalProperties": false,
+      "description": "an object with select",
+      "properties": {
+        "select": {"type": "boolean", "description": "true or false"}}}
   }
 })";
 
@@ -279,6 +283,7 @@
   Read(document, "retry_share", configuration.retry_share);
   Read(document, "subset_size", configuration.subset_size);
   Read(document, "remote_data_factor", configuration.remote_data_factor);
+  Read(document["overload"], "select", configuration.overload.select);
   return configuration;
 }
 
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -66,12 +66,30 @@
     ASSERT_TRUE(IsOk(process_settings)) << GetError(process_settings).message;
   }
   const auto first = std::get<0>(DecodeServiceDocument(documents.at("s1"), "s1"));
+  EXPECT_FALSE(first.overload.select) << "all its routes have the same priority";
   ASSERT_NE(first.FindKind("r-1"), nullptr);
   EXPECT_EQ(first.FindKind("r-1")->urgency, 2);
   EXPECT_EQ(first.FindKind("r-1")->attempts, 2U);
   EXPECT_EQ(first.FindKind("r-1")->target_slack, Milliseconds(60));
 }
 
+// Jobs are selected by what their callers lose only where the operators say that it differs.
+TEST(WireTest, ServiceWithRoutesOfDifferentPrioritySelectsJobsInAnOverload) {
+  const auto decoded = DecodeOperatorConfiguration(
+      R"({"version":7,"routes":[
+        {"name":"r-1","host":"a","prefix":"/p/","service":"s1","priority":2},
+        {"name":"r-2","host":"a","prefix":"/q/","service":"s1","priority":0},
+        {"name":"r-3","host":"a","prefix":"/r/","service":"s2","priority":1},
+        {"name":"r-4","host":"a","prefix":"/s/","service":"s2","priority":1}]})");
+  const auto documents =
+      ServiceDocuments(std::get<OperatorConfiguration>(decoded), Milliseconds(1000), 3);
+  const auto select = [&](const std::string& service) {
+    return std::get<0>(DecodeServiceDocument(documents.at(service), service)).overload.select;
+  };
+  EXPECT_TRUE(select("s1"));
+  EXPECT_FALSE(select("s2"));
+}
+
 TEST(WireTest, RejectsMalformedWorkerReports) {
   const auto kind = [](const char* body) { return KindOf(DecodeWorkerReport("i-1", body)); };
   EXPECT_EQ(kind(R"({"service":"s","state":"resting","capacity":{}})"), ErrorKind::kMalformed);
--- a/tests/policy/overload_policy_test.cc
+++ b/tests/policy/overload_policy_test.cc
@@ -22,13 +22,18 @@
     OverloadJob job;
     job.id = id;
     job.urgency = urgency;
-    job.job_class = this->policy.Classify(kind, "t", "d", work);
+    job.job_class = this->Classify(kind, work);
     job.latest_on_time = kNow + slack;
     job.latest_useful = kNow + slack + std::chrono::seconds(1);
     job.work = work;
     return job;
   }
 
+  OverloadClass Classify(const std::string& kind, milliseconds work) {
+    this->policy.RecordSize(kind, work);
+    return this->policy.Classify(kind, "t", "d", work);
+  }
+
   std::vector<std::uint64_t> TurnedAway(const std::vector<OverloadJob>& jobs,
                                         const OverloadCapacity& capacity) {
     std::vector<std::uint64_t> ids;
@@ -43,9 +48,8 @@
   void ServeMany(milliseconds work = milliseconds(100)) {
     for (int i = 0; i < 400; ++i) {
       const bool other = i % 2 != 0;
-      this->policy.RecordServed(
-          this->policy.Classify(other ? "j" : "k", "t", "d", other ? work : milliseconds(100)),
-          kNow);
+      this->policy.RecordServed(this->Classify(other ? "j" : "k", other ? work : milliseconds(100)),
+                                kNow);
     }
   }
 
@@ -112,7 +116,7 @@
 // Guards against the starvation of a kind in a lasting overload by cheaper jobs.
 TEST_F(OverloadPolicyTest, GroupThatIsServedTooLittleIsKept) {
   for (int i = 0; i < 400; ++i) {
-    this->policy.RecordServed(this->policy.Classify("k", "t", "d", milliseconds(100)), kNow);
+    this->policy.RecordServed(this->Classify("k", milliseconds(100)), kNow);
   }
   // These cannot be on time, and the policy records that they were not served.
   std::vector<OverloadJob> refused;
--- a/tests/policy/overload_property_test.cc
+++ b/tests/policy/overload_property_test.cc
@@ -129,6 +129,7 @@
     job.input.urgency = kind.urgency;
     job.input.tasks = job.waiting = kind.tasks;
     job.input.work = job.expected * kind.tasks;
+    this->policy.RecordSize(kind.name, job.input.work);
     job.input.job_class = this->policy.Classify(kind.name, team, data_centre, job.input.work);
     const auto target =
         std::chrono::duration_cast<Microseconds>(job.expected * 1.6) + milliseconds(60);
--- a/tests/settings/fuzz_test.cc
+++ b/tests/settings/fuzz_test.cc
@@ -24,7 +24,7 @@
     "tickets": {"block": 64, "valid_s": 60, "answers_kept": 10, "answer_kept_s": 60},
     "health": {"heartbeat_ms": 100, "agent_lost_ms": 1000, "agent_dead_ms": 3000, "eject_after": 3,
       "probe_after_ms": 100},
-    "lease_ms": 600, "agent_queue": 2, "retry_share": 0.1, "subset_size": 16})");
+    "lease_ms": 600, "agent_queue": 2, "retry_share": 0.1, "subset_size": 16, "overload": {"select": true}})");
 }
 
 std::vector<Json::Value> FullProcessSettings() {
