--- a/src/core/policy/overload_policy.cc
+++ b/src/core/policy/overload_policy.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <limits>
 #include <queue>
+#include <tuple>
 #include <utility>
 
 namespace quetzalvale {
@@ -28,6 +29,9 @@
 /// an estimate, and jobs of the tenth that are below it are turned away first.
 constexpr double kLargeShare = 0.11;
 
+/// Position in OverloadClass::groups.
+constexpr std::size_t kLargestTenth = 1;
+
 /// Limit on the number of groups, because some names come from callers. Further names have none.
 constexpr std::size_t kMaxGroups = 4096;
 
@@ -38,6 +42,13 @@
          std::max<double>(1, static_cast<double>(job.job_class.ranked_work.count()));
 }
 
+/// Orders jobs of the same value per unit of work. Among the largest tenth, which have one ranked
+/// work, the larger ones can wait longer and are thus part of more decisions; without this order
+/// they were served less often than the others of the tenth.
+Time TieBreak(const OverloadJob& job) {
+  return job.job_class.groups[kLargestTenth] == 0 ? Time{} : job.latest_on_time;
+}
+
 double MicrosecondsOf(Time::duration time) {
   return std::chrono::duration<double, std::micro>(time).count();
 }
@@ -196,7 +207,8 @@
 
     /// The lowest rank is at the top of a priority queue.
     bool operator<(const Rank& other) const {
-      return std::pair(this->value, this->job->id) > std::pair(other.value, other.job->id);
+      return std::tuple(this->value, TieBreak(*this->job), this->job->id) >
+             std::tuple(other.value, TieBreak(*other.job), other.job->id);
     }
   };
   /// By value per unit of work.
