--- a/src/core/policy/overload_policy.h
+++ b/src/core/policy/overload_policy.h
@@ -85,8 +85,8 @@
 class OverloadPolicy {
  public:
   /// While other jobs are left, no job is turned away for them if one of its groups would be served
-  /// less often than this, compared with all jobs. In simulated overloads, 0.9 left groups below
-  /// the promised 0.8 about twice as often, and 1.0 gave 6% less value.
+  /// less often than this, compared with all jobs. In trials with simulated overloads,
+  /// 0.9 left groups below the promised 0.8 about twice as often, and 1.0 gave 6% less value.
   static constexpr double kServedFloor = 0.95;
   /// Below this, a job is not turned away at all. The capacity is overbooked until enough jobs of
   /// other groups have arrived that can be turned away: otherwise a steady flow of small jobs would
