--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -161,6 +161,7 @@
   task.channel_sequence = 0;
   ServiceState& service = *this->FindService(job.ticket.service);
   service.jobs_at_risk = service.jobs_at_risk || evacuated;
+  service.placed_work -= task.expected;
   QueueTask(service, job, ref.index);
 }
 
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -16,6 +16,7 @@
 #include "core/entry/entry_events.h"
 #include "core/messages.h"
 #include "core/policy/answer_target.h"
+#include "core/policy/overload_policy.h"
 #include "core/types.h"
 
 namespace quetzalvale {
@@ -118,6 +119,11 @@
   /// Set for a job that was accepted to renew estimates, see EstimateRenewal: until when its answer
   /// is on time. Such a job has no target, by which it would be given up at once.
   std::optional<Time> renewal_on_time{};
+  /// Set if the job takes part in the selection in an overload; see OverloadPolicy.
+  std::optional<OverloadClass> overload_class;
+  /// None of its tasks starts before the next decision.
+  bool awaits_selection = false;
+  bool counted_as_served = false;
   std::vector<Task> tasks;
   std::vector<Waiter> waiters;
   /// Number of tasks that have not ended, and of those that succeeded.
