Bound what peers can make a process hold

Change: ConnectionTable bounds the connections and the memory of one process. Buffers, headers, bodies and responses of HttpServer and HttpSession are counted in it. When connections, memory or descriptors are short, an idle or slow connection of the address with the most gives way. Refused requests get 400, 408, 413, 431 or 503.

--- a/src/agent/agent_process.cc
+++ b/src/agent/agent_process.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "agent/endpoint_client.h"
+#include "http/connection_report.h"
 #include "runtime/entropy.h"
 #include "runtime/log.h"
 #include "runtime/process_usage.h"
@@ -112,6 +113,7 @@
 
 std::string AgentProcess::MetricsText() {
   ReportProcess(this->metrics);
+  ReportConnections(*ConnectionTable::OfProcess(), this->metrics);
   // Requests to the endpoint are counted as they are sent, inner calls by their senders.
   const auto inner_calls = static_cast<double>(this->senders.SentCalls());
   const auto requests = static_cast<double>(this->metrics.Count("endpoint_requests_total"));
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "core/result.h"
+#include "http/connection_report.h"
 #include "runtime/process_usage.h"
 
 namespace quetzalvale {
@@ -52,6 +53,7 @@
 std::string RenderMetrics(Metrics& metrics, const EntryStatus& status,
                           std::uint64_t messages_sent) {
   ReportProcess(metrics);
+  ReportConnections(*ConnectionTable::OfProcess(), metrics);
   AddCounters(metrics, status.counters);
   AddAgents(metrics, status);
   double queued = 0;
--- /dev/null
+++ b/src/http/connection_table.h
@@ -0,0 +1,169 @@
+/// Limits on what peers can make one process hold.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+namespace quetzalvale {
+
+/// The defaults fit the smallest machine: 160 MB and 4,100 descriptors at an entry, 128 MB and
+/// 4,096 descriptors at an agent, of which 64 MB are for the process itself. Well-behaved peers
+/// send headers of up to 16,384 bytes within 3 s, bodies of up to 4 MiB, and are idle for up to 15
+/// s.
+struct HttpLimits {
+  /// Accepted connections. The process's own are limited to three quarters as many.
+  std::size_t connections = 2048;
+  /// Memory that one connection may take.
+  std::size_t connection_bytes = 8U << 20U;
+  /// Memory of all connections. Three quarters are for accepted connections.
+  std::size_t total_bytes = 32U << 20U;
+  /// From the first byte of a request to the end of its headers.
+  std::chrono::milliseconds header{5000};
+  /// For the body of a request, and again for the response.
+  std::chrono::milliseconds transfer{30000};
+  /// Without a request.
+  std::chrono::milliseconds idle{60000};
+};
+
+/// Why a connection was refused or closed, or a request was refused.
+enum class ConnectionEvent : std::uint8_t {
+  /// The table is full and no connection in it can be replaced.
+  kRefused,
+  kReplaced,
+  /// The process has no descriptor for a new connection.
+  kDescriptorsFull,
+  kHeaderLate,
+  kTransferLate,
+  kIdle,
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  /// The memory of all connections is used up.
+  kMemoryFull,
+  /// A server that this process called sent too much.
+  kAnswerTooLarge,
+  kCount
+};
+
+enum class ConnectionState : std::uint8_t {
+  /// Waits for a request, or for the peer to close.
+  kIdle,
+  kReceiving,
+  kHandling,
+  kSending,
+  /// The peer does not take its response.
+  kSendingSlowly
+};
+
+/// All connections of one process: their number, their memory and which of them give way. When the
+/// table is full, a new connection replaces an idle or slow one of the address with the most
+/// connections. Thread-safe.
+class ConnectionTable : public std::enable_shared_from_this<ConnectionTable> {
+ private:
+  struct Entry;
+
+ public:
+  /// Asks the owner of a connection to close it at once. Called on any thread, with the table
+  /// locked, so it must only post. The connection no longer counts.
+  using Evict = std::function<void(ConnectionEvent)>;
+  /// Told of each event, with the peer's IPv4 address in host order. Must not call the table.
+  using Observer = std::function<void(ConnectionEvent, std::uint32_t address)>;
+  using Counts = std::array<std::uint64_t, static_cast<std::size_t>(ConnectionEvent::kCount)>;
+
+  /// The place of one connection in the table, which is free again after its destruction.
+  class Place {
+   public:
+    Place(std::shared_ptr<ConnectionTable> table, std::list<Entry>::iterator entry);
+    ~Place();
+    Place(const Place&) = delete;
+    Place& operator=(const Place&) = delete;
+
+    /// Returns false if the connection was evicted, or if it enters kHandling while its address has
+    /// half of all connections or half of the memory in that state: a request that is handled
+    /// cannot give way, so one address must not take all room in this way.
+    bool Enter(ConnectionState state);
+
+    /// Sets the memory that the connection takes. Returns false if the connection was evicted, or
+    /// is receiving and there is no room.
+    bool Resize(std::size_t bytes);
+
+   private:
+    std::shared_ptr<ConnectionTable> table;
+    std::list<Entry>::iterator entry;
+  };
+
+  explicit ConnectionTable(HttpLimits limits = {});
+
+  /// The table that all servers and clients of the process share.
+  static const std::shared_ptr<ConnectionTable>& OfProcess();
+
+  /// Call before the first server starts. The number of connections is reduced if the process may
+  /// not open twice as many descriptors.
+  void SetLimits(const HttpLimits& new_limits);
+  HttpLimits Limits() const;
+  void SetObserver(Observer new_observer);
+
+  /// Adds an accepted connection. Returns nothing if the table is full and none can be replaced.
+  std::unique_ptr<Place> Add(std::uint32_t address, Evict evict);
+  /// Adds a connection that this process opens; it is never evicted. Returns nothing if there are
+  /// too many.
+  std::unique_ptr<Place> AddOwn();
+
+  /// Evicts one connection, because descriptors are short. Returns false if none can be replaced.
+  bool Replace();
+
+  void Report(ConnectionEvent event, std::uint32_t address);
+  Counts Reported() const;
+
+ private:
+  struct Address {
+    std::size_t connections = 0;
+    std::size_t bytes = 0;
+    std::size_t handled = 0;
+    std::size_t handled_bytes = 0;
+  };
+  struct Entry {
+    Address* totals = nullptr;
+    std::uint32_t address = 0;
+    ConnectionState state = ConnectionState::kIdle;
+    std::size_t bytes = 0;
+    bool evicted = false;
+    bool own = false;
+    Evict evict{};
+    /// Of the last change of state.
+    std::uint64_t change = 0;
+  };
+
+  std::list<Entry>::iterator Insert(Entry entry);
+  bool ReplaceLocked();
+  /// Makes room for the bytes of `entry`. Returns false if the entry itself has to give way.
+  bool MakeRoom(Entry& entry);
+  void EvictLocked(Entry& entry, ConnectionEvent event);
+  void Uncount(Entry& entry);
+  void SetState(Entry& entry, ConnectionState state);
+  void ReportLocked(ConnectionEvent event, std::uint32_t address);
+  std::size_t AcceptedBytes() const { return this->limits.total_bytes / 4 * 3; }
+
+  mutable std::mutex mutex;
+  HttpLimits limits;
+  Observer observer;
+  Counts counts{};
+  std::list<Entry> entries;
+  std::unordered_map<std::uint32_t, Address> addresses;
+  /// Of the connections that were not evicted.
+  std::size_t accepted = 0;
+  std::size_t accepted_bytes = 0;
+  std::size_t own = 0;
+  std::size_t own_bytes = 0;
+  std::uint64_t changes = 0;
+};
+
+}  // namespace quetzalvale
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 
+#include "http/connection_table.h"
 #include "http/http_messages.h"
 
 namespace quetzalvale {
@@ -18,8 +19,9 @@
 /// first of them; the library's default of 40 wastes memory.
 void InitHttpThreads(int threads);
 
-/// Listens on one address with one thread, on which the handler is called. A request whose body
-/// exceeds the limit gets 413 and does not reach the handler. Thread-safe but for SetAbandoned,
+/// Listens on one address with one thread, on which the handler is called. A request that exceeds
+/// the limits of the table, or whose body exceeds its own, is refused (400, 408, 413, 431, 503) and
+/// does not reach the handler. Thread-safe but for SetAbandoned,
 /// Start and Stop.
 class HttpServer {
  public:
@@ -29,7 +31,8 @@
 
   /// `address` is `IPv4:port`. `max_body_bytes` is asked for each request.
   HttpServer(const std::string& address, std::function<std::size_t()> max_body_bytes,
-             HttpHandler handler);
+             HttpHandler handler,
+             std::shared_ptr<ConnectionTable> table = ConnectionTable::OfProcess());
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -5,14 +5,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <future>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "http/accounted_memory.h"
 #include "http/http_loop.h"
 #include "http/uri_text.h"
 #include "runtime/clock.h"
@@ -26,8 +27,6 @@
 using Tcp = boost::asio::ip::tcp;
 
 constexpr unsigned int kHttp11 = 11;
-/// Larger than every answer of the servers that are called; bounds what a broken one can send.
-constexpr std::size_t kMaxAnswerBytes = 64U << 20U;
 
 Tcp::endpoint ParseAddress(const std::string& address) {
   const std::size_t colon = address.rfind(':');
@@ -58,6 +57,8 @@
         context(context) {}
 
   void Dispatch();
+  /// Without any connection, nothing would ever send the waiting calls.
+  void FailWaiting();
   void Cancel(std::uint64_t number);
   /// Forgets all calls and closes the connections.
   void Close();
@@ -74,10 +75,13 @@
 /// One connection, used on the loop's thread only.
 class HttpSession::State::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(std::shared_ptr<State> session)
+  Connection(std::shared_ptr<State> session, std::unique_ptr<ConnectionTable::Place> place)
       : session(std::move(session)),
+        place(std::move(place)),
+        account(*this->place, ConnectionTable::OfProcess()->Limits().connection_bytes),
         socket(std::in_place, this->session->context),
-        timer(this->session->context) {}
+        timer(this->session->context),
+        buffer(kMaxBufferBytes, AccountedAllocator<char>(this->account)) {}
 
   bool IsIdle() const { return !this->call; }
 
@@ -182,23 +186,37 @@
   }
 
   void Read() {
-    this->parser.emplace();
-    this->parser->body_limit(kMaxAnswerBytes);
-    http::async_read(
-        *this->socket, this->buffer, *this->parser,
-        [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-          if (!self->call) {
-            return;
-          }
-          error ? self->Fail({false, "no answer: " + self->Reason(error)}) : self->Complete();
-        });
+    this->parser.emplace(std::piecewise_construct, std::make_tuple(&this->account),
+                         std::make_tuple(AccountedAllocator<char>(this->account)));
+    this->parser->header_limit(kMaxHeaderBytes);
+    // Bounded by the account of the connection.
+    this->parser->body_limit(boost::none);
+    http::async_read(*this->socket, this->buffer, *this->parser,
+                     [self = this->shared_from_this()](beast::error_code error, std::size_t) {
+                       if (!self->call) {
+                         return;
+                       }
+                       error ? self->FailAnswer(error) : self->Complete();
+                     });
+  }
+
+  void FailAnswer(beast::error_code error) {
+    const bool is_too_large =
+        error == http::error::header_limit || error == http::error::buffer_overflow ||
+        error == http::error::body_limit || error == asio::error::no_buffer_space;
+    if (is_too_large) {
+      ConnectionTable::OfProcess()->Report(ConnectionEvent::kAnswerTooLarge,
+                                           this->session->endpoint.address().to_v4().to_uint());
+    }
+    this->Fail({false, "no answer: " + (is_too_large ? "it exceeds the limits of connections"
+                                                     : this->Reason(error))});
   }
 
   void Complete() {
     auto message = this->parser->release();
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
-    response.body = std::move(message.body());
+    response.body = std::move(message.body().text);
     for (const auto& field : message.base()) {
       if (field.name() == http::field::unknown) {
         const auto name = field.name_string();
@@ -206,6 +224,9 @@
         response.headers[LowerCase({name.begin(), name.end()})] = {value.begin(), value.end()};
       }
     }
+    if (this->buffer.size() == 0 && this->buffer.capacity() > ByteAccount::kStep) {
+      this->buffer.shrink_to_fit();
+    }
     if (!message.keep_alive() || this->timed_out) {
       this->Drop();
     }
@@ -251,15 +272,17 @@
   }
 
   std::shared_ptr<State> session;
+  std::unique_ptr<ConnectionTable::Place> place;
+  ByteAccount account;
   /// Replaced when the connection is dropped.
   std::optional<Tcp::socket> socket;
   asio::steady_timer timer;
   /// Whether the timer is set, and for when.
   bool watching = false;
   std::chrono::steady_clock::time_point fires_at;
-  beast::flat_buffer buffer;
+  AccountedBuffer buffer;
   http::request<http::string_body> message;
-  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<http::response_parser<AccountedBody, AccountedAllocator<char>>> parser;
   std::optional<Call> call;
   bool connected = false;
   bool timed_out = false;
@@ -280,7 +303,13 @@
       if (this->connections.size() >= this->max_connections) {
         return;
       }
-      this->connections.push_back(std::make_shared<Connection>(this->shared_from_this()));
+      auto place = ConnectionTable::OfProcess()->AddOwn();
+      if (place == nullptr) {
+        this->FailWaiting();
+        return;
+      }
+      this->connections.push_back(
+          std::make_shared<Connection>(this->shared_from_this(), std::move(place)));
       idle = std::prev(this->connections.end());
     }
     Call call = std::move(this->waiting.front());
@@ -294,6 +323,15 @@
   }
 }
 
+void HttpSession::State::FailWaiting() {
+  if (!this->connections.empty()) {
+    return;
+  }
+  for (const Call& call : std::exchange(this->waiting, {})) {
+    call.done(HttpFailure{true, "this process has too many connections"});
+  }
+}
+
 void HttpSession::State::Cancel(std::uint64_t number) {
   std::erase_if(this->waiting, [number](const Call& call) { return call.number == number; });
   const auto carrier = std::ranges::find_if(
--- a/src/runtime/metric_names.cc
+++ b/src/runtime/metric_names.cc
@@ -13,6 +13,7 @@
     {"agents", "Agents known to the entry, by state."},
     {"announcements_received_total", "Full announcements received from agents."},
     {"configuration_version", "Version of the configuration in force, by service."},
+    {"connection_events_total", "Connections and requests refused or closed, by kind."},
     {"endpoint_requests_total", "Requests sent to the endpoint."},
     {"forwarded_submissions_total", "Jobs handed to the entry that owns their ticket."},
     {"heartbeats_total", "Announcements and heartbeats sent to entries."},
