Clients' tests wait until the server has read what is held

Cause: the checks ran before the server had read what the peers sent, so two cases passed that break their bound. Change: the cases whose peers hold a request wait until each is answered or closed. Clients and bounds are unchanged.

--- a/tests/adapter/job_api_test.cc
+++ b/tests/adapter/job_api_test.cc
@@ -117,8 +117,7 @@
   EXPECT_EQ(late.status, 503);
   EXPECT_NE(late.body.find("leaving"), std::string::npos) << late.body;
   this->api.Close(now + std::chrono::seconds(60));
-  const HttpResponse taken =
-      this->SubmitHandedOn(this->runtime.Time().Now() + kRelayAcceptWindow);
+  const HttpResponse taken = this->SubmitHandedOn(this->runtime.Time().Now() + kRelayAcceptWindow);
   EXPECT_EQ(taken.body.find("leaving"), std::string::npos) << taken.body;
 }
 
--- a/tests/clients/clients_test.cc
+++ b/tests/clients/clients_test.cc
@@ -139,6 +139,14 @@
     }
   }
 
+  /// Waits until the server has ended or answered what is held, so that it has read all it takes.
+  void Settle() {
+    EXPECT_TRUE(WaitFor([this] {
+      return std::ranges::all_of(this->peers,
+                                 [](RawPeer& peer) { return peer.HasAnswer() || peer.IsClosed(); });
+    }));
+  }
+
   bool AreAllClosed() {
     return std::ranges::all_of(this->peers, [](RawPeer& peer) { return peer.IsClosed(); });
   }
@@ -183,7 +191,9 @@
 
   void CheckProcess(std::size_t machine) {
     EXPECT_FALSE(this->process->ExitCode().has_value()) << "the process has ended";
-    EXPECT_LE(PeakMemory(this->process->Id()), MaxMemory(machine));
+    const std::size_t memory = PeakMemory(this->process->Id());
+    RecordProperty("megabytes", std::to_string(memory / kMb));
+    EXPECT_LE(memory, MaxMemory(machine));
     EXPECT_LE(this->most_descriptors, kMaxDescriptors);
   }
 
@@ -272,6 +282,7 @@
   std::string fields;
   for (int i = 0; i < 7500; ++i) fields += "a:\r\n";
   this->Hold(150, this->caller, "GET / HTTP/1.1\r\nHost: h\r\n" + fields);
+  this->Settle();
   this->CheckEntry();
 }
 
@@ -281,6 +292,7 @@
   this->Hold(200, this->caller,
              "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" +
                  std::string(999999, 'x'));
+  this->Settle();
   this->CheckEntry();
 }
 
@@ -290,6 +302,7 @@
   std::string body = kChunked;
   for (int i = 0; i < 900; ++i) body += "3e8\r\n" + std::string(1000, 'x') + "\r\n";
   this->Hold(200, this->caller, body);
+  this->Settle();
   this->CheckEntry();
 }
 
@@ -442,6 +455,7 @@
              "POST /api/Instances.Heartbeat/w HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n"
              "\r\n" +
                  std::string(3999999, ' '));
+  this->Settle();
   this->CheckAgent();
 }
 
@@ -454,6 +468,7 @@
   this->Hold(4, this->report,
              "POST /api/Instances.Heartbeat/w HTTP/1.1\r\nHost: h\r\nContent-Length: " +
                  std::to_string(body.size()) + "\r\n\r\n" + body);
+  this->Settle();
   this->CheckAgent();
 }
 
--- a/tests/clients/raw_peer.h
+++ b/tests/clients/raw_peer.h
@@ -77,6 +77,12 @@
     return all;
   }
 
+  /// Whether something has arrived that was not received yet.
+  bool HasAnswer() const {
+    char next = 0;
+    return ::recv(this->socket, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  }
+
   /// Whether the server has closed or reset the connection. What it sent before is dropped.
   bool IsClosed() {
     char buffer[4096];
