End the reading of an evicted connection at its next bytes

Cause: an operation whose data is always there is never cancelled, so an evicted connection read on to its next growth. Change: eviction revokes the account of the connection, and its body takes no more. Measured: AgentBoundsReportsOfAllConnections passes (before: 165 MB of 80 MB).

--- a/src/http/accounted_memory.h
+++ b/src/http/accounted_memory.h
@@ -46,6 +46,9 @@
     if (this->held + 4 * kStep < this->reported) this->Report();
   }
 
+  /// The connection was evicted.
+  void Revoke() { this->has_room = false; }
+
   /// Whether the connection stays below its own limit.
   bool IsWithinLimit() const { return this->held <= this->limit; }
   /// Whether the process has room for the connection.
@@ -160,6 +163,11 @@
       const std::size_t size = boost::asio::buffer_size(buffers);
       std::string& text = this->body.text;
       const std::size_t needed = text.size() + size;
+      // As long as data keeps coming, a read under way does not notice that it was cancelled.
+      if (!this->body.held.Account().HasRoom()) {
+        error = boost::asio::error::no_buffer_space;
+        return 0;
+      }
       if (needed > text.capacity()) {
         // Doubles, but not beyond the announced length.
         const std::size_t doubled = 2 * text.capacity();
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -268,6 +268,7 @@
       return;
     }
     this->closing_for = event;
+    this->account->Revoke();
     this->until = {};
     beast::error_code ignored;
     this->socket.cancel(ignored);
