Refuse JSON texts of more than 262,144 values

Cause: a value takes about 100 bytes once it is read, so a status report of 4 MiB of small numbers made an agent hold 202 MB. Change: ReadJson counts the values of texts above 512 KB, which are the only ones that can have so many, before it parses them.

--- a/src/protocol/codec.cc
+++ b/src/protocol/codec.cc
@@ -8,11 +8,18 @@
 #include <stdexcept>
 #include <utility>
 
+#include "protocol/json_nesting.h"
 #include "protocol/utf8.h"
 
 namespace quetzalvale {
 namespace {
 
+/// A value takes about 100 bytes once it is read, so a text of 4 MiB could take 200 MB. Bodies of
+/// up to 262,144 bytes, and all that are read from well-behaved peers, have fewer.
+constexpr std::size_t kMaxValues = 1U << 18U;
+/// The shortest value and its comma.
+constexpr std::size_t kMinValueBytes = 2;
+
 std::unique_ptr<Json::StreamWriter> MakeWriter() {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
@@ -120,6 +127,11 @@
 
 Result<Json::Value> ReadJson(std::string_view text) {
   thread_local const std::unique_ptr<Json::CharReader> reader = MakeReader();
+  if (text.size() > kMinValueBytes * kMaxValues &&
+      JsonValues(text.data(), text.size()) > kMaxValues) {
+    return Error{ErrorKind::kMalformed,
+                 "the JSON text has more than " + std::to_string(kMaxValues) + " values; split it"};
+  }
   Json::Value json;
   std::string errors;
   try {
--- a/src/protocol/json_nesting.h
+++ b/src/protocol/json_nesting.h
@@ -1,4 +1,4 @@
-/// Depth of JSON text before it is parsed.
+/// Depth and size of JSON text before it is parsed.
 #pragma once
 
 #include <cstddef>
@@ -9,4 +9,7 @@
 /// parser meets.
 int JsonNesting(const char* text, std::size_t size);
 
+/// Returns how many values the text has at most: one for each comma and bracket outside of texts.
+std::size_t JsonValues(const char* text, std::size_t size);
+
 }  // namespace quetzalvale
