Free the place of an own connection when it is dropped

Cause: HttpSession kept dropped connections for later calls, so a burst to several peers would have kept the places of the process's own connections taken for good. Change: a dropped connection leaves its session; the next call opens another one. Measured: protocol, adapter, entry, agent_program, store, load, ctl, clients and http tests pass.

--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -79,7 +79,7 @@
       : session(std::move(session)),
         place(std::move(place)),
         account(*this->place, ConnectionTable::OfProcess()->Limits().connection_bytes),
-        socket(std::in_place, this->session->context),
+        socket(this->session->context),
         timer(this->session->context),
         buffer(kMaxBufferBytes, AccountedAllocator<char>(this->account)) {}
 
@@ -94,24 +94,24 @@
     if (this->connected) {
       beast::error_code ignored;
       // Ends the wait of WatchPeer.
-      this->socket->cancel(ignored);
+      this->socket.cancel(ignored);
       this->Write();
       return;
     }
-    this->socket->async_connect(this->session->endpoint,
-                                [self = this->shared_from_this()](beast::error_code error) {
-                                  if (!self->call) {
-                                    return;
-                                  }
-                                  if (error) {
-                                    self->Fail({true, "cannot connect: " + self->Reason(error)});
-                                    return;
-                                  }
-                                  self->connected = true;
-                                  beast::error_code ignored;
-                                  self->socket->set_option(Tcp::no_delay(true), ignored);
-                                  self->Write();
-                                });
+    this->socket.async_connect(this->session->endpoint,
+                               [self = this->shared_from_this()](beast::error_code error) {
+                                 if (!self->call) {
+                                   return;
+                                 }
+                                 if (error) {
+                                   self->Fail({true, "cannot connect: " + self->Reason(error)});
+                                   return;
+                                 }
+                                 self->connected = true;
+                                 beast::error_code ignored;
+                                 self->socket.set_option(Tcp::no_delay(true), ignored);
+                                 self->Write();
+                               });
   }
 
   /// Forgets the call.
@@ -176,7 +176,7 @@
 
   void Write() {
     http::async_write(
-        *this->socket, this->message,
+        this->socket, this->message,
         [self = this->shared_from_this()](beast::error_code error, std::size_t) {
           if (!self->call) {
             return;
@@ -191,7 +191,7 @@
     this->parser->header_limit(kMaxHeaderBytes);
     // Bounded by the account of the connection.
     this->parser->body_limit(boost::none);
-    http::async_read(*this->socket, this->buffer, *this->parser,
+    http::async_read(this->socket, this->buffer, *this->parser,
                      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
                        if (!self->call) {
                          return;
@@ -247,35 +247,35 @@
 
   /// A connection that the peer closes while it is idle must not be used for the next request.
   void WatchPeer() {
-    this->socket->async_wait(Tcp::socket::wait_read,
-                             [self = this->shared_from_this()](beast::error_code error) {
-                               if (!error && self->IsIdle()) {
-                                 self->Drop();
-                               }
-                             });
+    this->socket.async_wait(Tcp::socket::wait_read,
+                            [self = this->shared_from_this()](beast::error_code error) {
+                              if (!error && self->IsIdle()) {
+                                self->Drop();
+                              }
+                            });
   }
 
   /// Resets the connection, so that what has not reached the peer yet, as behind a partition, never
   /// does: the caller acts as if the peer did not have it.
   void Disconnect() {
     beast::error_code ignored;
-    this->socket->set_option(asio::socket_base::linger(true, 0), ignored);
-    this->socket->close(ignored);
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
   }
 
+  /// Leaves the session, so that the place in the table is free for another connection.
   void Drop() {
+    this->timer.cancel();
     this->Disconnect();
-    this->socket.emplace(this->session->context);
-    this->buffer.clear();
     this->connected = false;
-    this->timed_out = false;
+    std::erase_if(this->session->connections,
+                  [this](const auto& connection) { return connection.get() == this; });
   }
 
   std::shared_ptr<State> session;
   std::unique_ptr<ConnectionTable::Place> place;
   ByteAccount account;
-  /// Replaced when the connection is dropped.
-  std::optional<Tcp::socket> socket;
+  Tcp::socket socket;
   asio::steady_timer timer;
   /// Whether the timer is set, and for when.
   bool watching = false;
