Tests of the limits lower the time limits only where lateness is the subject

Cause: http_test failed once in 35 runs on a machine with a load of 39; the test was not recorded. The limits of 500 ms applied to requests that are to be served, which such a machine can exceed. Change: two cases of lateness have a fixture of their own with 300 ms; all others use the defaults.

--- a/tests/http/http_limits_test.cc
+++ b/tests/http/http_limits_test.cc
@@ -21,11 +21,10 @@
 
 class HttpLimitsTest : public testing::Test {
  protected:
-  HttpLimitsTest() {
-    HttpLimits limits;
+  /// Only tests of lateness lower the time limits, so that a busy machine fails no other.
+  explicit HttpLimitsTest(HttpLimits limits = {}) {
     limits.connections = 64;
     limits.total_bytes = 1U << 20U;
-    limits.header = limits.transfer = std::chrono::milliseconds(500);
     this->table = std::make_shared<ConnectionTable>(limits);
     this->server = std::make_unique<HttpServer>(
         this->address, [] { return std::size_t{700000}; },
@@ -72,8 +71,6 @@
   const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
   EXPECT_EQ(Status(this->Exchange("not http\r\n\r\n")), "400");
   EXPECT_EQ(Status(this->Exchange(chunked + "no number\r\n")), "400");
-  EXPECT_EQ(Status(this->Exchange("GET / HT")), "408");
-  EXPECT_EQ(Status(this->Exchange(head + "Content-Length: 5\r\n\r\n1234")), "408");
   EXPECT_EQ(Status(this->Exchange(head + "Content-Length: 700001\r\n\r\n")), "413");
   EXPECT_EQ(Status(this->Exchange(head + lines + "\r\n")), "431");
   EXPECT_EQ(Status(this->Exchange(chunked + "0\r\n" + lines + "\r\n")), "431");
@@ -81,6 +78,21 @@
   this->ExpectServed();
 }
 
+class HttpLateTest : public HttpLimitsTest {
+ protected:
+  static HttpLimits Limits() {
+    HttpLimits limits;
+    limits.header = limits.transfer = std::chrono::milliseconds(300);
+    return limits;
+  }
+  HttpLateTest() : HttpLimitsTest(Limits()) {}
+};
+
+TEST_F(HttpLateTest, LateRequestsAreToldSo) {
+  EXPECT_EQ(Status(this->Exchange("GET / HT")), "408");
+  EXPECT_EQ(Status(this->Exchange("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n1234")), "408");
+}
+
 // 503 says that the request has not run, so it must not have reached the handler.
 TEST_F(HttpLimitsTest, RequestWithoutRoomIsAnsweredAndNotHandled) {
   std::vector<std::unique_ptr<RawPeer>> peers;
