--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "core/result.h"
+#include "http/connection_report.h"
 #include "runtime/process_usage.h"
 
 namespace quetzalvale {
@@ -67,6 +68,7 @@
 std::string RenderMetrics(Metrics& metrics, const EntryStatus& status,
                           std::uint64_t messages_sent) {
   ReportProcess(metrics);
+  ReportConnections(*ConnectionTable::OfProcess(), metrics);
   AddCounters(metrics, status.counters);
   AddAgents(metrics, status);
   AddEvacuations(metrics, status);
--- a/src/runtime/metric_names.cc
+++ b/src/runtime/metric_names.cc
@@ -14,6 +14,7 @@
     {"announcements_received_total", "Full announcements received from agents."},
     {"configuration_version", "Version of the configuration in force, by service."},
     {"data_centre_evacuated", "1 while the data centre is evacuated, 0 once this was revoked."},
+    {"connection_events_total", "Connections and requests refused or closed, by kind."},
     {"endpoint_requests_total", "Requests sent to the endpoint."},
     {"evacuated", "Whether the agent refuses starts because its data centre is evacuated."},
     {"evacuation_version", "Version of the store at which the evacuated data centres were read."},
