--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 jsoncpp="$(for d in /usr/include/jsoncpp /usr/include; do [ -e "$d/json/json.h" ] && echo "$d" && break; done)"
 flags=(-std=c++20 -O1 -Isrc -Ireview/standins-2 -isystem "$jsoncpp" -include utility)
 sources=(src/http/http_server.cc src/http/http_session.cc src/http/http_loop.cc
-  src/http/connection_table.cc   src/http/http_messages.cc src/http/uri_text.cc review/standins-2/rig.cc)
+  src/http/connection_table.cc src/http/http_messages.cc src/http/uri_text.cc review/standins-2/rig.cc)
 objects=()
 for source in "${sources[@]}"; do
   object="$out/$(basename "${source%.cc}").o"
