Scenarios start only once agents have their endpoints up; evacuated agents offer no free runs

Change: the deployment counts as started once each agent reports its endpoint up. The checks are as they were. Cause 2: the selection in an overload, merged beside the evacuation, counted the free capacity of evacuated agents.

--- a/scenarios/lib.lua
+++ b/scenarios/lib.lua
@@ -228,6 +228,10 @@
   self.version = self:apply(0)
   for _, worker in ipairs(self.workers) do self:start_agent(worker) end
   self:await_ready()
+  -- An agent is known to the entries before it has found its endpoint up, and refuses starts until then.
+  for _, worker in ipairs(self.workers) do
+    await(worker.name .. " has its endpoint up", function() return is_ready(worker.settings.caller_address) end)
+  end
   return self
 end
 
--- a/src/core/entry/entry_core_overload.cc
+++ b/src/core/entry/entry_core_overload.cc
@@ -164,7 +164,7 @@
     const int runs = ParallelRuns(CapacityOf(agent.announce.worker), typical);
     running += std::min<double>(runs, static_cast<double>(agent.outstanding.size())) *
                SpeedOf(service, agent);
-    if (!agent.leaving && this->now >= agent.paused_until &&
+    if (!agent.leaving && !this->IsEvacuated(agent) && this->now >= agent.paused_until &&
         service.health.IsAvailable(agent.announce.name)) {
       capacity.free_runs += ParallelRuns(agent.FreeResources(), typical);
     }
