Log what agents know of entries, and announcements that are not recorded

Cause: not found. Evidence missing: an agent logged nothing about entries that do not answer, cannot record it or do not use it, and an entry nothing about agents that it does not record, so a red run looks the same whichever of these it is. Change: the agent logs each change of an entry's state (2032) and, at growing intervals, that no entry uses it (2033); the entry logs and counts announcements that it does not record, with the reason (1007, announcements_unrecorded_total). Decisions are as before. Tests before: the three tests need the new interface; MembershipWithoutConfigurationTest now also checks the line.

--- a/src/agent/action_runner.cc
+++ b/src/agent/action_runner.cc
@@ -43,6 +43,7 @@
     case 2021:
     case 2023:
     case 2024:
+    case 2033:
       return LogLevel::kWarning;
     case 2018:
     case 2019:
--- a/src/core/agent/agent_core.cc
+++ b/src/core/agent/agent_core.cc
@@ -32,6 +32,10 @@
       resources(this->identity.worker),
       announcer(seed_entry_addresses,
                 [this](const std::string& address) { return this->HoldsTasksOfEntryAt(address); }) {
+  this->announcer.SetStateHook([this](const std::string& address, Announcer::EntryState state) {
+    this->AddLogEvent(2032, "entry_state_changed",
+                      "entry=" + address + " state=" + std::string(EntryStateText(state)));
+  });
 }
 
 std::vector<AgentAction> AgentCore::Handle(Time time, const AgentEvent& event) {
@@ -48,6 +52,7 @@
   this->PollUsageIfDue();
   this->SendDueOutcomes();
   this->AnnounceIfDue();
+  this->LogIfUnused();
   this->ForgetClosedOwners();
   this->store.DiscardExpired(this->now);
   this->DepartIfDone();
--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -150,6 +150,8 @@
   void RenewDueLeases();
   void SendDueOutcomes();
   void AnnounceIfDue();
+  /// Logs that no entry uses the agent, at growing intervals.
+  void LogIfUnused();
   Announce MakeAnnounce() const;
   Heartbeat MakeHeartbeat(std::uint64_t entries_digest) const;
   /// Whether the agent holds unfinished tasks or undelivered outcomes of the entry at this address.
@@ -189,6 +191,10 @@
   std::uint64_t outcomes_sent = 0;
   std::uint64_t outcomes_resent = 0;
   std::uint64_t messages_with_new_outcomes = 0;
+  /// Since when no entry uses the agent, and when this is logged next; empty while one does.
+  std::optional<Time> unused_since;
+  Time next_unused_log{};
+
   std::uint64_t requested_version = 0;
   Milliseconds fetch_backoff{0};
   Time next_fetch{};
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -1,5 +1,7 @@
 // Announcements to entries, configuration updates and leaving.
 #include <algorithm>
+#include <chrono>
+#include <string>
 #include <utility>
 
 #include "core/agent/agent_core.h"
@@ -17,6 +19,9 @@
 /// A leaving agent delivers outcomes of repeatable jobs to an owner until it has been silent for
 /// this long. Longer than the 1,300 ms after which callers of a dead entry submit their jobs again.
 constexpr Milliseconds kMaxRepeatableDeliveryTime{1500};
+/// First log line about an agent that no entry uses. After a restart of all processes, entries need
+/// a few seconds to read their configuration.
+constexpr Milliseconds kMinLoggedUnusedTime{5000};
 /// A leaving agent waits at most this long for entries that do not answer.
 constexpr Milliseconds kMaxLeaveNoticeTime{5000};
 /// Time after the entries know of the leaving during which the agent still refuses starts that were
@@ -120,6 +125,31 @@
   }
 }
 
+void AgentCore::LogIfUnused() {
+  if (this->leaving || this->announcer.IsUsed()) {
+    this->unused_since.reset();
+    return;
+  }
+  if (!this->unused_since) {
+    this->unused_since = this->now;
+    this->next_unused_log = this->now + kMinLoggedUnusedTime;
+  }
+  if (this->now < this->next_unused_log) {
+    return;
+  }
+  const Time::duration unused = this->now - *this->unused_since;
+  this->next_unused_log = this->now + unused;
+  using State = Announcer::EntryState;
+  std::string details =
+      "for_ms=" + std::to_string(std::chrono::duration_cast<Milliseconds>(unused).count());
+  for (const State state :
+       {State::kUnknown, State::kSilent, State::kUnrecorded, State::kRecorded, State::kMember}) {
+    details += " " + std::string(EntryStateText(state)) + "=" +
+               std::to_string(this->announcer.EntriesIn(state));
+  }
+  this->AddLogEvent(2033, "not_used", std::move(details));
+}
+
 void AgentCore::On(const AgentConfigurationChanged& event) {
   if (event.configuration->version <= this->configuration->version) {
     return;
--- a/src/core/agent/announcer.cc
+++ b/src/core/agent/announcer.cc
@@ -111,6 +111,47 @@
   });
 }
 
+std::size_t Announcer::EntriesIn(EntryState state) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->entries, [state](const auto& item) { return StateOf(item.second) == state; }));
+}
+
+Announcer::EntryState Announcer::StateOf(const Entry& entry) {
+  if (entry.failures > 0) {
+    return EntryState::kSilent;
+  }
+  if (!entry.answered_once) {
+    return EntryState::kUnknown;
+  }
+  if (!entry.recorded) {
+    return EntryState::kUnrecorded;
+  }
+  return entry.member ? EntryState::kMember : EntryState::kRecorded;
+}
+
+std::string_view EntryStateText(Announcer::EntryState state) {
+  switch (state) {
+    case Announcer::EntryState::kUnknown:
+      return "unknown";
+    case Announcer::EntryState::kSilent:
+      return "silent";
+    case Announcer::EntryState::kUnrecorded:
+      return "unrecorded";
+    case Announcer::EntryState::kRecorded:
+      return "recorded";
+    case Announcer::EntryState::kMember:
+      return "member";
+  }
+  return "unknown";
+}
+
+void Announcer::ReportState(const std::string& address, Entry& entry) {
+  const EntryState state = StateOf(entry);
+  if (std::exchange(entry.reported_state, state) != state && this->state_changed) {
+    this->state_changed(address, state);
+  }
+}
+
 Time::duration Announcer::UnusedInterval(Time now) const {
   // Half of the time since the last change makes each interval about as long as all before it.
   return std::clamp<Time::duration>((now - *this->unused_since) / 2, kMinUnusedInterval,
@@ -145,6 +186,7 @@
     if (!entry.in_flight.empty() && now - entry.last_sent >= kInFlightTimeout) {
       entry.in_flight.clear();
       ++entry.failures;
+      this->ReportState(address, entry);
     }
     if (entry.announce_now || this->IsHeartbeatDue(address, entry, now)) {
       // An entry that never answered an announcement, or did not record the agent, does not know
@@ -187,6 +229,7 @@
     entry.announce_now = true;
   }
   this->ApplyReply(entry, reply, now);
+  this->ReportState(address, entry);
 }
 
 void Announcer::HandleNotice(const AnnounceReply& notice, Time now) {
@@ -194,10 +237,12 @@
   const auto found = this->entries.find(notice.entry.address);
   if (found != this->entries.end() && found->second.incarnation == notice.entry.incarnation) {
     this->ApplyReply(found->second, notice, now);
+    this->ReportState(found->first, found->second);
   }
 }
 
 void Announcer::ApplyReply(Entry& entry, const AnnounceReply& reply, Time now) {
+  entry.recorded = reply.known;
   entry.member = reply.member;
   entry.entries_digest = reply.entries_digest;
   for (const EntryInfo& info : reply.entries) {
@@ -217,6 +262,7 @@
     entry.silent_since = now;
   }
   entry.retry_at = now + this->health.heartbeat * std::min(entry.failures, kMaxRetryHeartbeats);
+  this->ReportState(address, entry);
 }
 
 std::vector<std::string> Announcer::Addresses() const {
--- a/src/core/agent/announcer.h
+++ b/src/core/agent/announcer.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/messages.h"
@@ -35,8 +37,25 @@
     std::uint64_t entries_digest = 0;
   };
 
+  /// What the agent knows of an entry's view of it.
+  enum class EntryState : std::uint8_t {
+    /// No announcement has been answered.
+    kUnknown,
+    /// The last announcement or heartbeat failed.
+    kSilent,
+    /// The entry answers, but has no record of the agent.
+    kUnrecorded,
+    /// The entry has a record of the agent and does not use it.
+    kRecorded,
+    kMember
+  };
+  /// Receives each change of an entry's state. Must not call the announcer.
+  using StateHook = std::function<void(const std::string& address, EntryState state)>;
+
   Announcer(const std::vector<std::string>& seeds, ActiveHook is_active);
 
+  void SetStateHook(StateHook new_hook) { this->state_changed = std::move(new_hook); }
+
   /// Sets the heartbeat intervals.
   void SetIntervals(const ServiceConfiguration::Health& new_health) { this->health = new_health; }
 
@@ -78,6 +97,12 @@
   /// Processes a message that an entry sent without being asked.
   void HandleNotice(const AnnounceReply& notice, Time now);
 
+  /// Whether an entry that answers counts the agent as a member.
+  bool IsUsed() const;
+
+  /// Number of known entries in the state.
+  std::size_t EntriesIn(EntryState state) const;
+
   /// Addresses of all entries, seeds included.
   std::vector<std::string> Addresses() const;
 
@@ -96,7 +121,10 @@
     bool knows_of_leaving = false;
     /// Incarnation in the last answer; nil before the first answer.
     Incarnation incarnation;
+    bool recorded = false;
     bool member = false;
+    /// The state last passed to the hook.
+    EntryState reported_state = EntryState::kUnknown;
     std::uint64_t entries_digest = 0;
     /// Time of the last message of any kind to the entry.
     Time last_message{};
@@ -111,8 +139,8 @@
     std::deque<Sent> in_flight;
   };
 
-  /// Whether an entry that answers counts the agent as a member.
-  bool IsUsed() const;
+  static EntryState StateOf(const Entry& entry);
+  void ReportState(const std::string& address, Entry& entry);
   bool IsHeartbeatDue(const std::string& address, const Entry& entry, Time now) const;
   /// Longest time between two messages to an entry while no entry counts the agent as a member.
   Time::duration UnusedInterval(Time now) const;
@@ -126,6 +154,7 @@
 
   ServiceConfiguration::Health health;
   ActiveHook is_active;
+  StateHook state_changed;
   bool leaving = false;
   /// Start of the present period in which no entry counts the agent as a member, or the last change
   /// at an entry during it; empty while one does.
@@ -133,4 +162,7 @@
   std::map<std::string, Entry> entries;
 };
 
+/// Returns the name of the state in logs.
+std::string_view EntryStateText(Announcer::EntryState state);
+
 }  // namespace quetzalvale
--- a/src/core/entry/agent_directory.h
+++ b/src/core/entry/agent_directory.h
@@ -123,6 +123,9 @@
   /// is then used for new tickets only.
   void Remove(const Incarnation& agent, bool replaced, Time now);
 
+  /// Whether another incarnation has taken the agent's name and address.
+  bool WasReplaced(const Incarnation& agent) const;
+
   /// Whether the agent is among the recently removed ones and has not announced itself again.
   bool IsRemoved(const Incarnation& agent) const;
 
@@ -157,7 +160,6 @@
     Time removed_at{};
   };
 
-  bool WasReplaced(const Incarnation& agent) const;
   void DropOldestRemoved();
 
   Incarnation self;
--- a/src/core/entry/entry_core_agents.cc
+++ b/src/core/entry/entry_core_agents.cc
@@ -28,6 +28,15 @@
                 "agent=" + announce.name + " incarnation=" + announce.agent.Text());
     }
   }
+  if (agent == nullptr) {
+    ++this->counters.announcements_unrecorded;
+    this->Log(1007, "agent_not_recorded",
+              "agent=" + announce.name + " incarnation=" + announce.agent.Text() +
+                  " service=" + announce.service + " reason=" +
+                  (service == nullptr                            ? "no_configuration"
+                   : this->directory.WasReplaced(announce.agent) ? "replaced"
+                                                                 : "too_many_agents"));
+  }
   // Must precede the reply, which tells the agent whether it is a member.
   this->UpdateMembers();
   AnnounceReply reply = this->MakeAnnounceReply(service, agent, 0);
--- a/src/core/entry/entry_status.h
+++ b/src/core/entry/entry_status.h
@@ -50,6 +50,7 @@
   std::uint64_t withdrawals = 0;
   std::uint64_t retries = 0;
   std::uint64_t announcements_received = 0;
+  std::uint64_t announcements_unrecorded = 0;
   std::uint64_t hellos_sent = 0;
   std::uint64_t notices_sent = 0;
   std::uint64_t jobs_complete = 0;
--- a/src/entry/entry_metrics.cc
+++ b/src/entry/entry_metrics.cc
@@ -19,6 +19,7 @@
   set("withdrawals_total", counters.withdrawals);
   set("retries_total", counters.retries);
   set("announcements_received_total", counters.announcements_received);
+  set("announcements_unrecorded_total", counters.announcements_unrecorded);
   set("hellos_sent_total", counters.hellos_sent);
   set("notices_sent_total", counters.notices_sent);
   set("jobs_complete_total", counters.jobs_complete);
--- a/src/runtime/metric_names.cc
+++ b/src/runtime/metric_names.cc
@@ -12,6 +12,7 @@
     {"added_start_seconds", "Time that the entry adds between an event and the start it causes."},
     {"agents", "Agents known to the entry, by state."},
     {"announcements_received_total", "Full announcements received from agents."},
+    {"announcements_unrecorded_total", "Announcements of agents that the entry could not record."},
     {"configuration_version", "Version of the configuration in force, by service."},
     {"data_centre_evacuated", "1 while the data centre is evacuated, 0 once this was revoked."},
     {"connection_events_total", "Connections and requests refused or closed, by kind."},
--- a/tests/agent/agent_core_test.cc
+++ b/tests/agent/agent_core_test.cc
@@ -535,5 +535,35 @@
   EXPECT_EQ(heartbeats, 2U);
 }
 
+// An agent without tasks logged nothing, so that its log did not tell whether no work came or no
+// entry used it (issue 40).
+TEST_F(AgentCoreTest, LogsThatNoEntryUsesIt) {
+  AnnounceReply unrecorded;
+  unrecorded.entry = {kOwnerId, kOwnerAddress, "dc"};
+  unrecorded.known = false;
+  const auto logged = [this](const AgentEvent& event, int ms_later) {
+    std::string text;
+    for (const LogEvent& line : Select<LogEvent>(this->Handle(event, ms_later))) {
+      constexpr int kResumedAfterGap = 2023;
+      if (line.number != kResumedAfterGap) {
+        text += std::to_string(line.number) + " " + line.details + "; ";
+      }
+    }
+    return text;
+  };
+  EXPECT_EQ(logged(AnnounceReplied{kOwnerAddress, unrecorded, this->now}, 100),
+            "2032 entry=" + std::string(kOwnerAddress) + " state=unrecorded; ");
+  EXPECT_EQ(logged(Tick{}, 4899), "");
+  const std::string details = " unknown=0 silent=0 unrecorded=1 recorded=0 member=0; ";
+  EXPECT_EQ(logged(Tick{}, 1), "2033 for_ms=5000" + details);
+  EXPECT_EQ(logged(Tick{}, 4999), "") << "at growing intervals";
+  EXPECT_EQ(logged(Tick{}, 1), "2033 for_ms=10000" + details);
+  AnnounceReply member = unrecorded;
+  member.known = member.member = true;
+  EXPECT_EQ(logged(AnnounceReplied{kOwnerAddress, member, this->now}, 100),
+            "2032 entry=" + std::string(kOwnerAddress) + " state=member; ");
+  EXPECT_EQ(logged(Tick{}, 20000).find("2033"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace quetzalvale
--- a/tests/agent/senders_test.cc
+++ b/tests/agent/senders_test.cc
@@ -290,6 +290,27 @@
   EXPECT_TRUE(this->announcer.AllKnowOfLeaving());
 }
 
+// Without the states in the log, an entry that cannot record the agent, one that does not answer
+// and one that does not use it look the same: nothing but missing tasks (issue 40).
+TEST_F(AnnouncerTest, PassesOnEachChangeOfAnEntrysState) {
+  std::string states;
+  this->announcer.SetStateHook([&states](const std::string& address, Announcer::EntryState state) {
+    states += address + "=" + std::string(EntryStateText(state)) + " ";
+  });
+  AnnounceReply unrecorded = Reply(1, false);
+  unrecorded.known = false;
+  this->DueAt(0);
+  this->announcer.Failed("seed", At(0));
+  this->announcer.Failed("seed", At(1000));
+  this->announcer.Answered("seed", unrecorded, At(2000));
+  this->announcer.Answered("seed", unrecorded, At(3000));
+  EXPECT_EQ(this->announcer.EntriesIn(Announcer::EntryState::kUnrecorded), 1U);
+  this->announcer.Answered("seed", Reply(1, false), At(4000));
+  this->announcer.HandleNotice(Reply(1, true), At(5000));
+  this->announcer.Answered("seed", Reply(1, true), At(6000));
+  EXPECT_EQ(states, "seed=silent seed=unrecorded seed=recorded seed=member ");
+}
+
 TEST(EndpointMonitorTest, IsDownUntilACheckSucceeds) {
   EndpointMonitor monitor;
   EXPECT_FALSE(monitor.IsUp());
--- a/tests/core/membership_test.cc
+++ b/tests/core/membership_test.cc
@@ -214,7 +214,12 @@
   announce.name = announce.address = "a";
   announce.service = "s";
   const auto actions = core.Handle(Time{seconds(1000)}, AgentAnnounced{99, announce});
-  const auto* reply = std::get_if<ReplyAnnounce>(&actions.at(0));
+  ASSERT_EQ(actions.size(), 2U);
+  const auto* line = std::get_if<LogEvent>(&actions[0]);
+  ASSERT_NE(line, nullptr);
+  EXPECT_EQ(line->number, 1007);
+  EXPECT_NE(line->details.find("reason=no_configuration"), std::string::npos);
+  const auto* reply = std::get_if<ReplyAnnounce>(&actions[1]);
   ASSERT_NE(reply, nullptr);
   EXPECT_FALSE(reply->reply.known);
   EXPECT_FALSE(reply->reply.member);
