DELETE cancels a job in progress

What callers saw: DELETE of a job in progress was answered 410, which says that there is no such job, and its tasks ran on to the caller's deadline, which is up to 7.8 s since callers state how long they wait. Cause: the API answered every request but POST as for jobs that are not kept, without looking for a job in progress. Change: the entry stops the job's runs and answers DELETE and the waiting POST with 200 and the state "cancelled"; a copy within 15 s gets the same answer and does not run. A job that was handed on is ended by closing the connection to the entry that has it. Tests before: the tests need the new event; by reading, DELETE answered 410 without posting anything.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -157,6 +157,7 @@
   void On(const JobCancelled& event);
   void On(const KeyClaimed& event);
   void On(const CallerDisconnected& event);
+  void On(const NamedJobCancelled& event);
   void On(const AgentAnnounced& event);
   void On(const HeartbeatReceived& event);
   void On(const NoticeReplied& event);
--- a/src/core/entry/entry_core_repeatable.cc
+++ b/src/core/entry/entry_core_repeatable.cc
@@ -92,6 +92,30 @@
   this->Log(1041, "job_rejected", std::move(line));
 }
 
+void EntryCore::On(const NamedJobCancelled& event) {
+  const Waiter waiter{Waiter::Kind::kCaller, event.request, {}};
+  Job* job = this->jobs.FindNamed(event.service, event.name);
+  this->Log(1045, "job_cancelled",
+            "job=" + event.name + " found=" + (job != nullptr ? "true" : "false"));
+  if (job == nullptr) {
+    Answer answer;
+    answer.status = AnswerStatus::kRefused;
+    answer.error = ErrorKind::kNotFound;
+    answer.message = "no such job is in progress at this entry";
+    this->Deliver(waiter, std::move(answer));
+    return;
+  }
+  Answer answer;
+  answer.status = AnswerStatus::kFailed;
+  answer.reason = kCancelledByRequest;
+  answer.message = "the job was cancelled";
+  // A copy of the submission may still arrive and must not run.
+  this->repeatable_answers.Keep(event.service + "/" + event.name, job->body_hash, answer,
+                                this->now);
+  this->FailJob(*job, kCancelledByRequest, answer.message, true);
+  this->Deliver(waiter, std::move(answer));
+}
+
 void EntryCore::On(const CallerDisconnected& event) {
   this->Log(1042, "caller_gone", "request=" + std::to_string(event.request));
   Job* job = this->jobs.FindByRequest(event.request);
--- a/src/core/entry/entry_core_settlement.cc
+++ b/src/core/entry/entry_core_settlement.cc
@@ -329,7 +329,8 @@
   task.run_time = outcome.run_time;
   const Agent* agent = this->directory.Find(incarnation);
   ServiceState& service = *this->FindService(job->ticket.service);
-  const bool cancelled = job->failure && job->failure->reason == "cancelled";
+  const bool cancelled = job->failure && (job->failure->reason == "cancelled" ||
+                                          job->failure->reason == kCancelledByRequest);
   // A task that was stopped does not count as a failure of the endpoint.
   const bool stopped = cancelled || outcome.reason == kInterrupted;
   if (agent != nullptr && (outcome.ok || !stopped)) {
--- a/src/core/entry/entry_events.h
+++ b/src/core/entry/entry_events.h
@@ -54,6 +54,14 @@
   RequestId request = 0;
 };
 
+/// A caller cancels the repeatable job of this name. Answered by AnswerCaller with the same id:
+/// failed with kCancelledByRequest, or refused with kNotFound if no such job is in progress here.
+struct NamedJobCancelled {
+  RequestId request = 0;
+  std::string service;
+  std::string name;
+};
+
 /// An agent announced itself. Answered by ReplyAnnounce.
 struct AgentAnnounced {
   RequestId request = 0;
@@ -162,11 +170,11 @@
 
 using EntryEvent =
     std::variant<JobSubmitted, TicketsRequested, JobQueried, JobCancelled, KeyClaimed,
-                 CallerDisconnected, AgentAnnounced, HeartbeatReceived, NoticeReplied, StartReplied,
-                 WithdrawReplied, SealReplied, OutcomesReceived, HelloReceived, HelloReplied,
-                 ForwardReceived, ForwardReplied, AnswerReceived, AnswerReplied, HandOverReceived,
-                 HandOverReplied, EntriesRead, ConfigurationChanged, EvacuationsRead,
-                 LeaveRequested, Tick>;
+                 CallerDisconnected, NamedJobCancelled, AgentAnnounced, HeartbeatReceived,
+                 NoticeReplied, StartReplied, WithdrawReplied, SealReplied, OutcomesReceived,
+                 HelloReceived, HelloReplied, ForwardReceived, ForwardReplied, AnswerReceived,
+                 AnswerReplied, HandOverReceived, HandOverReplied, EntriesRead,
+                 ConfigurationChanged, EvacuationsRead, LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -331,6 +331,9 @@
   std::optional<Time> received{};
 };
 
+/// Answer::reason of a repeatable job that a caller cancelled by its name.
+inline constexpr const char* kCancelledByRequest = "cancelled_by_request";
+
 enum class AnswerStatus { kComplete, kFailed, kRefused };
 
 /// The final answer to a submission; there is exactly one.
@@ -339,7 +342,7 @@
   std::optional<Ticket> ticket;
   /// Set if refused.
   ErrorKind error = ErrorKind::kInternal;
-  /// Set if failed: task_failed, outcome_unknown, deadline, cancelled.
+  /// Set if failed: task_failed, outcome_unknown, deadline, cancelled, kCancelledByRequest.
   std::string reason;
   /// What happened and what the caller can do about it.
   std::string message;
--- a/tests/adapter/job_api_test.cc
+++ b/tests/adapter/job_api_test.cc
@@ -45,17 +45,26 @@
     return options;
   }
 
-  /// Submits a job that another entry handed on with this limit.
-  HttpResponse SubmitHandedOn(std::optional<Time> accept_until) {
+  static HttpRequest MakeRequest(const std::string& method) {
     HttpRequest request;
-    request.method = "POST";
+    request.method = method;
     request.target = "/jobs/00000000000000a1";
     request.host = "desk.example";
+    return request;
+  }
+
+  /// Submits a job that another entry handed on with this limit.
+  HttpResponse SubmitHandedOn(std::optional<Time> accept_until) {
+    HttpRequest request = MakeRequest("POST");
     request.body = R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":100,"est_ms":50}]})";
     request.headers = {{kRelayedHeader, "1"}, {"x-deadline-ms", "1150"}};
     if (accept_until) {
       request.headers[kAcceptUntilHeader] = FormatHeaderTime(*accept_until);
     }
+    return this->Handle(request);
+  }
+
+  HttpResponse Handle(const HttpRequest& request) {
     auto promise = std::make_shared<std::promise<HttpResponse>>();
     auto response = promise->get_future();
     this->api.Handle(request, [promise](HttpResponse result) { promise->set_value(result); });
@@ -109,6 +118,23 @@
   EXPECT_EQ(JobTimeLimit(std::nullopt, kRouteTimeout), kRouteTimeout);
 }
 
+TEST_F(JobApiTest, CancellationOfAJobThatIsNotHereIsAnsweredAsGone) {
+  EXPECT_EQ(this->Handle(MakeRequest("DELETE")).status, 410);
+}
+
+// A caller that was told 504 would submit the cancelled job again.
+TEST(RenderJobAnswerTest, CancelledJobIsAnsweredAsEnded) {
+  Answer answer;
+  answer.status = AnswerStatus::kFailed;
+  answer.reason = kCancelledByRequest;
+  for (const bool not_run : {false, true}) {
+    answer.not_run = not_run;
+    const HttpResponse response = RenderJobAnswer(answer);
+    EXPECT_EQ(response.status, 200);
+    EXPECT_EQ(response.body, R"({"state":"cancelled"})");
+  }
+}
+
 // A job taken shortly before the process ends would be lost with it.
 TEST_F(JobApiTest, LeavingEntryTakesOnlyJobsThatItCanAnswer) {
   const Time now = this->runtime.Time().Now();
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -144,6 +144,37 @@
   EXPECT_TRUE(withdraw->message.stop_running);
 }
 
+// A cancellation was answered "no such job" while the job's runs went on, and a copy of the job
+// that arrived later ran.
+TEST_F(RepeatableJobsTest, CancelledJobEndsItsRunsAndItsCopyDoesNotRun) {
+  this->Submit(1);
+  const StartRequest start = this->AcceptLastStart();
+  this->Send(NamedJobCancelled{2, "s", "00000000000000a1"});
+  const auto* withdraw = this->Find<SendWithdraw>();
+  ASSERT_NE(withdraw, nullptr);
+  EXPECT_TRUE(withdraw->message.stop_running);
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, kCancelledByRequest);
+  WithdrawReply reply;
+  reply.agent = kAgent;
+  reply.reports = {TaskReport{start.items[0].task, TaskStatus::kRunning, std::nullopt}};
+  this->Send(WithdrawReplied{kAgent, withdraw->message.items, reply});
+  ASSERT_NE(this->Find<AnswerCaller>(), nullptr) << "the caller that submitted the job";
+  EXPECT_EQ(this->Find<AnswerCaller>()->request, 1U);
+  EXPECT_EQ(this->FindAnswer()->reason, kCancelledByRequest);
+  this->ReportOutcome(start, false, "interrupted");
+  this->Submit(3);
+  EXPECT_EQ(this->Find<SendStart>(), nullptr);
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, kCancelledByRequest);
+}
+
+TEST_F(RepeatableJobsTest, CancellationOfAnUnknownJobSaysSo) {
+  this->Send(NamedJobCancelled{1, "s", "00000000000000a1"});
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->error, ErrorKind::kNotFound);
+}
+
 TEST_F(RepeatableJobsTest, JobContinuesWhileCopyOfRequestWaits) {
   this->Submit(1);
   this->AcceptLastStart();
