HttpClient and all programs go through the limits of connections

Cause: HttpClient read answers of any size into memory, so an endpoint or platform that sends without end ended quetzalvale-agent or quetzalvale-entry; these programs had no setting for the limits of their servers. Change: HttpClient calls servers that are named by their IPv4 address without TLS through HttpSession, which counts what it reads; cpprestsdk remains for names and TLS. A request that must have a connection of its own gets one, and it is closed afterwards. The object `limits` of the settings is shared by all programs. Whether a request was not sent is decided in one place. AnswerBeyondTheLimitsIsAnError and LimitsOfConnectionsAreReadAndChecked are new.

--- a/src/agent/endpoint_client.cc
+++ b/src/agent/endpoint_client.cc
@@ -47,12 +47,6 @@
          ",\"payload\":" + start.payload + "}";
 }
 
-/// Whether the request provably did not reach the endpoint. The error code alone is no proof: an
-/// established connection may also end with "host unreachable".
-bool IsConnectFailure(const HttpFailure& failure) {
-  return failure.not_sent && failure.message.find("Failed to connect") != std::string::npos;
-}
-
 std::string Member(const Json::Value& json, const char* name) {
   return json.isObject() && json[name].isString() ? json[name].asString() : std::string();
 }
@@ -101,7 +95,7 @@
 
 AgentEvent ToEvent(const TaskKey& task, const HttpResult& result, Microseconds run_time) {
   if (const auto* failure = std::get_if<HttpFailure>(&result)) {
-    if (IsConnectFailure(*failure)) {
+    if (failure->not_sent) {
       return EndpointRefused{task, "unreachable"};
     }
     return EndpointFinished{task, Error{ErrorKind::kTimeout, failure->message}};
--- a/src/agent/main.cc
+++ b/src/agent/main.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "agent/agent_process.h"
+#include "http/connection_report.h"
 #include "http/http_server.h"
 #include "runtime/log.h"
 #include "runtime/signals.h"
@@ -61,5 +62,7 @@
   }
   quetzalvale::InitLog("quetzalvale-agent", quetzalvale::ParseLogLevel(loaded.log_level));
   quetzalvale::InitHttpThreads(kHttpThreads);
+  quetzalvale::ConnectionTable::OfProcess()->SetLimits(loaded.limits);
+  quetzalvale::LogConnectionEvents(*quetzalvale::ConnectionTable::OfProcess());
   return Run(loaded);
 }
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "entry/entry_process.h"
+#include "http/connection_report.h"
 #include "runtime/log.h"
 #include "runtime/signals.h"
 
@@ -59,5 +60,7 @@
   }
   quetzalvale::InitLog("quetzalvale-entry", quetzalvale::ParseLogLevel(loaded.log_level));
   quetzalvale::InitHttpThreads(kHttpThreads);
+  quetzalvale::ConnectionTable::OfProcess()->SetLimits(loaded.limits);
+  quetzalvale::LogConnectionEvents(*quetzalvale::ConnectionTable::OfProcess());
   return Run(loaded);
 }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,4 +1,4 @@
-/// Asynchronous HTTP client on cpprestsdk.
+/// Asynchronous HTTP client of one server.
 #pragma once
 
 #include <chrono>
@@ -19,7 +19,8 @@
   std::string body{};
   std::string authorization{};
   /// Use a connection of its own. cpprestsdk silently sends a request again when a pooled
-  /// connection turns out to be closed, so what must be sent at most once needs this.
+  /// connection turns out to be closed, so what must be sent at most once needs this. On a
+  /// connection that was kept alive, a request may be lost without an answer.
   bool once = false;
   /// Further headers.
   std::map<std::string, std::string> headers{};
@@ -34,7 +35,9 @@
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
 
-/// Sends requests to one server; the only wrapper of cpprestsdk's client. Thread-safe.
+/// Sends requests to one server. A server named by its IPv4 address without TLS is called through
+/// HttpSession, within the limits of connections; cpprestsdk's client calls the others, and reads
+/// answers of any size. Thread-safe.
 class HttpClient {
  public:
   /// `url` is scheme, address and port. Throws std::exception when it is malformed.
@@ -43,7 +46,8 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// `done` runs on a thread of the HTTP library, exactly once.
+  /// `done` runs on a thread of the HTTP library, at most once: not if the client is destroyed
+  /// before there is a result.
   void Send(OutgoingRequest request, std::function<void(HttpResult)> done);
 
   /// Sends and waits. Not for use on the library's threads.
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -229,7 +229,7 @@
     if (this->buffer.size() == 0 && this->buffer.capacity() > ByteAccount::kStep) {
       this->buffer.shrink_to_fit();
     }
-    if (!message.keep_alive() || this->timed_out) {
+    if (!message.keep_alive() || this->timed_out || this->call->request.once) {
       this->Drop();
     }
     const Done done = std::exchange(this->call, std::nullopt)->done;
@@ -301,6 +301,11 @@
   while (!this->waiting.empty()) {
     auto idle = std::ranges::find_if(this->connections,
                                      [](const auto& connection) { return connection->IsIdle(); });
+    if (this->waiting.front().request.once && idle != this->connections.end()) {
+      (*idle)->Close();
+      this->connections.erase(idle);
+      idle = this->connections.end();
+    }
     if (idle == this->connections.end()) {
       if (this->connections.size() >= this->max_connections) {
         return;
--- a/src/settings/process_settings.cc
+++ b/src/settings/process_settings.cc
@@ -3,13 +3,16 @@
 #include <set>
 
 #include "settings/address.h"
+#include "settings/connection_limits.h"
 #include "settings/schema_check.h"
 #include "settings/settings_file.h"
 
 namespace quetzalvale {
 namespace {
 
-constexpr std::string_view kSchema = R"({
+/// Returns the schema of the document.
+std::string Schema() {
+  return R"({
   "type": "object",
   "additionalProperties": false,
   "required": ["role", "name", "data_centre", "inner_address", "shared_key"],
@@ -61,10 +64,13 @@
             "description": "the name of the token's holder"},
           "token_sha256": {"type": "string", "pattern": "^[0-9a-f]{64}$",
             "description": "the token's SHA-256 as 64 lower-case hexadecimal digits"}}}},
+    "limits": )" +
+         std::string(kConnectionLimitsSchema) + R"(,
     "log_level": {"enum": ["debug", "info", "warning", "error"],
       "description": "debug, info, warning or error"}
   }
 })";
+}
 
 void CheckAddress(const Json::Value& value, const std::string& path, ValidationErrors& errors) {
   if (value.isString() && !IsAddress(value.asString())) {
@@ -167,6 +173,7 @@
     settings.administrators.push_back(
         {administrator["name"].asString(), administrator["token_sha256"].asString()});
   }
+  settings.limits = DecodeConnectionLimits(document["limits"]);
   settings.log_level = document.get("log_level", settings.log_level).asString();
   return settings;
 }
@@ -176,7 +183,7 @@
 Result<ProcessSettings> DecodeProcessSettings(const Json::Value& document,
                                               const std::string& source) {
   ValidationErrors errors(source);
-  CheckSchema(kSchema, document, errors);
+  CheckSchema(Schema(), document, errors);
   CheckMeaning(document, errors);
   if (!errors.IsEmpty()) {
     return Error{ErrorKind::kInvalidSettings, errors.Text()};
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -8,6 +8,7 @@
 
 #include "core/messages.h"
 #include "core/result.h"
+#include "http/connection_table.h"
 
 namespace quetzalvale {
 
@@ -43,6 +44,7 @@
   std::vector<std::string> labels;
   std::string shared_key;
   std::vector<Administrator> administrators;
+  HttpLimits limits;
   /// debug, info, warning or error.
   std::string log_level = "info";
 };
--- a/tests/agent_program/endpoint_client_test.cc
+++ b/tests/agent_program/endpoint_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "http/connection_table.h"
 #include "protocol/codec.h"
 #include "runtime/ring.h"
 #include "tests/agent/agent_fixture.h"
@@ -87,6 +88,12 @@
   EXPECT_EQ(usage.tasks[0].memory_mb, 7);
 }
 
+/// Replaces the address by a name, so that cpprestsdk's client is used.
+std::string WithName(std::string url) {
+  const std::string_view address = "127.0.0.1";
+  return url.replace(url.find(address), address.size(), "localhost");
+}
+
 // The HTTP library sends a request again when a reused connection closes; the task would run twice.
 TEST_F(EndpointClientTest, ConnectionClosedWithoutAnswerIsNotRetried) {
   RawServer server({""});
@@ -97,11 +104,14 @@
 
 // A server may keep the connection open although it was asked to close it.
 TEST_F(EndpointClientTest, KeptAliveConnectionIsNotReused) {
-  RawServer server({Response("200 OK", R"({"status":"ok"})"), ""});
-  EndpointClient client(server.Url(), 4, this->metrics, this->Receive());
-  EXPECT_TRUE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
-  EXPECT_FALSE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
-  EXPECT_EQ(server.Bodies().size(), 2U);
+  for (const bool named : {false, true}) {
+    RawServer server({Response("200 OK", R"({"status":"ok"})"), ""});
+    const std::string url = named ? WithName(server.Url()) : server.Url();
+    EndpointClient client(url, 4, this->metrics, this->Receive());
+    EXPECT_TRUE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
+    EXPECT_FALSE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
+    EXPECT_EQ(server.Bodies().size(), 2U);
+  }
 }
 
 // Control requests leave a pooled connection behind, which no task may use.
@@ -114,14 +124,28 @@
   EXPECT_EQ(server.Bodies().size(), 2U);
 }
 
-// Shows that the two tests above would find the fault: "Connection: close" alone does not help.
-TEST_F(EndpointClientTest, SharedClientSendsTwice) {
+// A client that tasks share must not send one of them again when a connection that it kept closes.
+TEST_F(EndpointClientTest, SharedClientOfAnAddressSendsOnce) {
+  constexpr int kAttempts = 100;
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    RawServer server({Response("200 OK", R"({"status":"ok"})"), ""});
+    const auto shared = std::make_shared<HttpClient>(server.Url(), kPatience);
+    EndpointClient client(server.Url(), 4, this->metrics, this->Receive(), [&] { return shared; });
+    this->Run(client);
+    EXPECT_FALSE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
+    ASSERT_EQ(server.Bodies().size(), 2U);
+  }
+}
+
+// Servers that are named are called by cpprestsdk. Shows that the tests above would find the fault
+// there: "Connection: close" alone does not help.
+TEST_F(EndpointClientTest, SharedClientOfANameSendsTwice) {
   // The second request is resent only when the library has put the first one's connection back into
   // its pool by then, which nothing outside the library can wait for.
   constexpr int kAttempts = 1000;
   for (int attempt = 0; attempt < kAttempts; ++attempt) {
     RawServer server({Response("200 OK", R"({"status":"ok"})"), ""});
-    const auto shared = std::make_shared<HttpClient>(server.Url(), kPatience);
+    const auto shared = std::make_shared<HttpClient>(WithName(server.Url()), kPatience);
     EndpointClient client(server.Url(), 4, this->metrics, this->Receive(), [&] { return shared; });
     this->Run(client);
     EXPECT_FALSE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
@@ -140,6 +164,14 @@
   EXPECT_FALSE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
 }
 
+// The agent held an answer of any size in memory; an endpoint that sends without end ended it.
+TEST_F(EndpointClientTest, AnswerBeyondTheLimitsIsAnError) {
+  const std::string result(HttpLimits().connection_bytes + 1, 'x');
+  RawServer server({Response("200 OK", R"({"status":"ok","result":")" + result + R"("})")});
+  EndpointClient client(server.Url(), 4, this->metrics, this->Receive());
+  EXPECT_FALSE(IsOk(std::get<EndpointFinished>(this->Run(client)).outcome));
+}
+
 TEST_F(EndpointClientTest, UnreachableEndpointDidNotRunTheTask) {
   std::string url;
   {
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -178,6 +178,23 @@
 }
 
 // std::regex recurses once per character; a long URL overflowed the stack.
+// Only the programs of the users' platform read the limits of connections.
+TEST(ProcessSettingsTest, LimitsOfConnectionsAreReadAndChecked) {
+  Json::Value document = EntrySettings();
+  document["limits"]["connections"] = 100;
+  document["limits"]["idle_ms"] = 1500;
+  const auto result = DecodeProcessSettings(document, "e1.json");
+  ASSERT_TRUE(IsOk(result));
+  const HttpLimits& limits = std::get<ProcessSettings>(result).limits;
+  EXPECT_EQ(limits.connections, 100U);
+  EXPECT_EQ(limits.idle, std::chrono::milliseconds(1500));
+  EXPECT_EQ(limits.header, HttpLimits().header);
+  document["limits"]["connections"] = 1;
+  document["limits"]["typo"] = 1;
+  EXPECT_NE(SettingsErrorsOf(document).find("$.limits.connections: "), std::string::npos);
+  EXPECT_NE(SettingsErrorsOf(document).find("typo"), std::string::npos);
+}
+
 TEST(ProcessSettingsTest, LongUrlIsRefused) {
   Json::Value document = EntrySettings();
   document["platform"] = "http://" + std::string(1000000, 'x');
