--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <future>
@@ -220,6 +221,24 @@
   }
 }
 
+// As above, for every place at which a response can be divided.
+TEST(HttpSessionTest, ResponseMayArriveInAnyTwoParts) {
+  const std::array<std::string, 3> responses{
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello"};
+  for (const std::string& response : responses) {
+    for (std::size_t size = 1; size < response.size(); ++size) {
+      RawServer server({response}, std::chrono::milliseconds(5), size);
+      HttpSession session(server.Address(), 1);
+      const HttpResult result = session.SendAndWait({"GET", "/"}, kPatience);
+      ASSERT_TRUE(std::holds_alternative<HttpResponse>(result))
+          << size << " bytes of " << response << ": " << std::get<HttpFailure>(result).message;
+      EXPECT_EQ(std::get<HttpResponse>(result).body, "hello") << size << " bytes of " << response;
+    }
+  }
+}
+
 // A handler that throws on one request must not end the process; the next request is answered.
 TEST_F(HttpServerTest, ExceptionOfTheHandlerCostsOneRequest) {
   this->Start([](const HttpRequest& request, const HttpResponder& respond) {
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -19,10 +19,12 @@
 /// connection without an answer, as does having none left. Connections stay open otherwise.
 class RawServer {
  public:
-  /// `pause` is the time between the headers of a response and its body.
+  /// With a pause, each response is sent in two parts: the first `first_part` bytes, by default the
+  /// headers, and after the pause the rest.
   explicit RawServer(std::deque<std::string> responses,
-                     std::chrono::milliseconds pause = std::chrono::milliseconds(0))
-      : pause(pause), responses(std::move(responses)) {
+                     std::chrono::milliseconds pause = std::chrono::milliseconds(0),
+                     std::size_t first_part = 0)
+      : pause(pause), first_part(first_part), responses(std::move(responses)) {
     this->listener = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -93,7 +95,7 @@
       }
       std::size_t sent = 0;
       if (this->pause.count() > 0 && !response.empty()) {
-        sent = response.find("\r\n\r\n") + 4;
+        sent = this->first_part > 0 ? this->first_part : response.find("\r\n\r\n") + 4;
         send(connection, response.data(), sent, MSG_NOSIGNAL);
         std::this_thread::sleep_for(this->pause);
       }
@@ -128,6 +130,7 @@
   }
 
   const std::chrono::milliseconds pause;
+  const std::size_t first_part;
   int listener = -1;
   int port = 0;
   mutable std::mutex mutex;
