Decide in one place whether an agent takes starts

A task whose start was not sent was put back into the queue by two copies of the same steps. An announcement looked up the evacuation twice, a load report its agent twice, and the check for an overload the kind and the longest run of a job that the load of the same job has already. Change: EntryCore::TakesStarts and ReturnBatched; the repeated look-ups are gone. The test for an expired ticket in CheckSubmission does not ask for evacuations and stays as it is.

--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -368,6 +368,11 @@
   void AddEvacuation(std::string_view data_centre, AnnounceReply& reply) const;
 
   // Agents (entry_core_agents.cc).
+  /// Whether the agent is a member that may be sent new tasks at all: it is neither leaving nor in
+  /// an evacuated data centre.
+  bool TakesStarts(const Agent& agent) const;
+  /// Queues a task again whose start was not sent to the agent.
+  void ReturnBatched(Agent& agent, const TaskRef& ref);
   void RemoveDeadAgents();
   void RemoveAgent(Incarnation agent, bool replaced);
   bool IsLost(const Agent& agent) const;
--- a/src/core/entry/entry_core_agents.cc
+++ b/src/core/entry/entry_core_agents.cc
@@ -40,8 +40,10 @@
   // Must precede the reply, which tells the agent whether it is a member.
   this->UpdateMembers();
   AnnounceReply reply = this->MakeAnnounceReply(service, agent, 0);
-  reply.known = agent != nullptr;
-  this->AddEvacuation(announce.data_centre, reply);
+  if (agent == nullptr) {
+    reply.known = false;
+    this->AddEvacuation(announce.data_centre, reply);
+  }
   this->Emit(ReplyAnnounce{event.request, std::move(reply)});
 }
 
@@ -123,7 +125,7 @@
 }
 
 void EntryCore::RemoveAgent(Incarnation incarnation, bool replaced) {
-  const Agent* agent = this->directory.Find(incarnation);
+  Agent* agent = this->directory.Find(incarnation);
   if (agent == nullptr) {
     return;
   }
@@ -135,11 +137,8 @@
     Job& job = *this->jobs.Find(ref.job);
     Task& task = job.tasks[ref.index];
     if (task.state == JobTaskState::kBatched) {
-      // The start was not sent, so the task returns to the queue without counting as refused.
-      this->batcher.Remove(incarnation, ref);
-      task.state = JobTaskState::kWaiting;
-      task.agent = {};
-      QueueTask(service, job, ref.index);
+      // The start was not sent, so the task does not count as refused.
+      this->ReturnBatched(*agent, ref);
     } else if (this->MayRerun(job, task, {})) {
       // Safe to run again: the agent was replaced, or it has been silent for so long that its
       // worker's leases have lapsed and every run there has ended.
@@ -175,6 +174,21 @@
   }
 }
 
+void EntryCore::ReturnBatched(Agent& agent, const TaskRef& ref) {
+  Job& job = *this->jobs.Find(ref.job);
+  Task& task = job.tasks[ref.index];
+  this->batcher.Remove(task.agent, ref);
+  agent.unreported.Remove(DeclaredBy(task.spec), task.joins_queue);
+  agent.outstanding.erase(ref);
+  task.state = JobTaskState::kWaiting;
+  task.agent = {};
+  QueueTask(*this->FindService(job.ticket.service), job, ref.index);
+}
+
+bool EntryCore::TakesStarts(const Agent& agent) const {
+  return agent.member && !agent.leaving && !this->IsEvacuated(agent);
+}
+
 void EntryCore::UpdateMembers() {
   for (auto& [name, service] : this->services) {
     if (service.IsConfigured() && std::exchange(service.members_changed, false)) {
--- a/src/core/entry/entry_core_evacuation.cc
+++ b/src/core/entry/entry_core_evacuation.cc
@@ -42,15 +42,9 @@
   std::size_t withdrawn = 0;
   const auto outstanding = agent.outstanding;
   for (const auto& [ref, expected] : outstanding) {
-    Job& job = *this->jobs.Find(ref.job);
-    Task& task = job.tasks[ref.index];
+    const Task& task = this->jobs.Find(ref.job)->tasks[ref.index];
     if (task.state == JobTaskState::kBatched) {
-      this->batcher.Remove(task.agent, ref);
-      agent.unreported.Remove(DeclaredBy(task.spec), task.joins_queue);
-      agent.outstanding.erase(ref);
-      task.state = JobTaskState::kWaiting;
-      task.agent = {};
-      QueueTask(*this->FindService(job.ticket.service), job, ref.index);
+      this->ReturnBatched(agent, ref);
     } else if (!task.runs) {
       this->Withdraw(ref, false);
       ++withdrawn;
--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -289,8 +289,8 @@
 bool EntryCore::HasPossibleAgent(const Job& job) const {
   return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
     const Agent& agent = element.second;
-    return agent.member && !agent.leaving && !this->IsEvacuated(agent) &&
-           agent.announce.service == job.ticket.service && MayUse(job, agent) &&
+    return this->TakesStarts(agent) && agent.announce.service == job.ticket.service &&
+           MayUse(job, agent) &&
            std::ranges::find(job.excluded_agents, element.first) == job.excluded_agents.end();
   });
 }
--- a/src/core/entry/entry_core_load.cc
+++ b/src/core/entry/entry_core_load.cc
@@ -50,8 +50,7 @@
   bool reachable = false;
   double remote_free_runs = 0;
   for (const auto& [incarnation, agent] : this->directory.Agents()) {
-    const bool usable = agent.member && !agent.leaving && !this->IsEvacuated(agent) &&
-                        agent.announce.service == service.name &&
+    const bool usable = this->TakesStarts(agent) && agent.announce.service == service.name &&
                         agent.first_roster <= submission.ticket->roster;
     if (!usable || (this->IsLost(agent) && this->now >= this->grace_until)) {
       continue;
--- a/src/core/entry/entry_core_overload.cc
+++ b/src/core/entry/entry_core_overload.cc
@@ -48,20 +48,20 @@
 std::optional<EntryCore::Refusal> EntryCore::CheckOverload(ServiceState& service,
                                                            const Submission& submission,
                                                            const LoadView& load) {
-  if (!IsSelecting(service, submission)) {
+  if (!load.target || !load.target->is_selected) {
     return std::nullopt;
   }
   const Microseconds work = TotalExpected(service, submission);
   service.overload.RecordSize(submission.kind, work);
   const auto tasks = static_cast<std::uint32_t>(submission.tasks.size());
-  const bool fits = service.queue.Size() == 0 && load.target &&
-                    load.target->capacity.free_runs >= static_cast<double>(tasks);
+  const bool fits =
+      service.queue.Size() == 0 && load.target->capacity.free_runs >= static_cast<double>(tasks);
   if (fits || this->now < service.next_selection) {
     return std::nullopt;
   }
   const auto& kind = *service.configuration->FindKind(submission.kind);
   const Time submitted = std::min(this->now, submission.received.value_or(this->now));
-  const Microseconds longest = LongestExpectedRun(service, submission);
+  const Microseconds longest = load.target->longest;
   const StartSchedule schedule = ScheduleOf(
       TargetOf(kind, longest, submitted, submitted + EffectiveDeadline(service, submission)),
       longest);
@@ -164,7 +164,7 @@
     const int runs = ParallelRuns(CapacityOf(agent.announce.worker), typical);
     running += std::min<double>(runs, static_cast<double>(agent.outstanding.size())) *
                SpeedOf(service, agent);
-    if (!agent.leaving && !this->IsEvacuated(agent) && this->now >= agent.paused_until &&
+    if (this->TakesStarts(agent) && this->now >= agent.paused_until &&
         service.health.IsAvailable(agent.announce.name)) {
       capacity.free_runs += ParallelRuns(agent.FreeResources(), typical);
     }
--- a/src/core/entry/entry_core_speed.cc
+++ b/src/core/entry/entry_core_speed.cc
@@ -59,25 +59,25 @@
 bool EntryCore::IsDataServed(const ServiceState& service, const Job& job) const {
   return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
     const Agent& agent = element.second;
-    return agent.announce.service == service.name && agent.member && !agent.leaving &&
-           !this->IsEvacuated(agent) && !this->IsLost(agent) &&
-           service.health.IsAvailable(agent.announce.name) &&
+    return agent.announce.service == service.name && this->TakesStarts(agent) &&
+           !this->IsLost(agent) && service.health.IsAvailable(agent.announce.name) &&
            RunFactor(service, job.data_rack, agent) <= 1;
   });
 }
 
 void EntryCore::RecordLoad(const Incarnation& incarnation, const AgentLoad& load) {
-  const Agent* known = this->directory.Find(incarnation);
-  const bool was_evacuated = known != nullptr && this->IsEvacuated(*known);
+  Agent* agent = this->directory.Find(incarnation);
+  if (agent == nullptr) {
+    return;
+  }
+  const bool was_evacuated = this->IsEvacuated(*agent);
   this->directory.RecordReport(incarnation, &load, this->now);
-  if (Agent* agent = this->directory.Find(incarnation)) {
-    this->evacuations.Learn(agent->announce.data_centre, load);
-    if (!was_evacuated && this->IsEvacuated(*agent)) {
-      // Another entry has told the agent. Jobs here may have lost their last agent.
-      this->FindService(agent->announce.service)->jobs_at_risk = true;
-    }
-    this->MoveTasksIfSlow(*agent);
+  this->evacuations.Learn(agent->announce.data_centre, load);
+  if (!was_evacuated && this->IsEvacuated(*agent)) {
+    // Another entry has told the agent. Jobs here may have lost their last agent.
+    this->FindService(agent->announce.service)->jobs_at_risk = true;
   }
+  this->MoveTasksIfSlow(*agent);
 }
 
 void EntryCore::MoveTasksIfSlow(Agent& agent) {
--- a/src/core/entry/entry_core_starts.cc
+++ b/src/core/entry/entry_core_starts.cc
@@ -85,8 +85,7 @@
 }
 
 bool EntryCore::EvaluateAgent(ServiceState& service, Agent& agent, UsableAgent& usable) {
-  if (!agent.member || agent.leaving || this->IsEvacuated(agent) || this->IsLost(agent) ||
-      this->now < agent.paused_until) {
+  if (!this->TakesStarts(agent) || this->IsLost(agent) || this->now < agent.paused_until) {
     return false;
   }
   if (this->NeedsLivenessCheck(agent)) {
@@ -134,9 +133,8 @@
   const Milliseconds reply_timeout = service.configuration->health.heartbeat / kStaleReportDivisor;
   return std::ranges::any_of(this->directory.Agents(), [&](const auto& element) {
     const Agent& agent = element.second;
-    return agent.announce.service == service.name && agent.member && !agent.leaving &&
-           !this->IsEvacuated(agent) && agent.reply_awaited_since &&
-           this->now - *agent.reply_awaited_since < reply_timeout;
+    return agent.announce.service == service.name && this->TakesStarts(agent) &&
+           agent.reply_awaited_since && this->now - *agent.reply_awaited_since < reply_timeout;
   });
 }
 
