Announcer holds the period in which no entry uses the agent

Cause: the agent kept a second start of that period and went through its entries once more for each event to find out whether it goes on. Change: the announcer, which finds it out before each round of announcements, keeps its start beside the time of the last change. The first line 2033 after a message without a result for 30 s may come one tick later; otherwise behaviour is the same. Measured: agent tests pass.

--- a/src/core/agent/agent_core.h
+++ b/src/core/agent/agent_core.h
@@ -191,9 +191,8 @@
   std::uint64_t outcomes_sent = 0;
   std::uint64_t outcomes_resent = 0;
   std::uint64_t messages_with_new_outcomes = 0;
-  /// Since when no entry uses the agent, and when this is logged next; empty while one does.
-  std::optional<Time> unused_since;
-  Time next_unused_log{};
+  /// When it is logged next that no entry uses the agent; empty while one does.
+  std::optional<Time> next_unused_log;
 
   std::uint64_t requested_version = 0;
   Milliseconds fetch_backoff{0};
--- a/src/core/agent/agent_core_membership.cc
+++ b/src/core/agent/agent_core_membership.cc
@@ -126,18 +126,18 @@
 }
 
 void AgentCore::LogIfUnused() {
-  if (this->leaving || this->announcer.IsUsed()) {
-    this->unused_since.reset();
+  const auto since = this->announcer.UnusedSince();
+  if (this->leaving || !since) {
+    this->next_unused_log.reset();
     return;
   }
-  if (!this->unused_since) {
-    this->unused_since = this->now;
-    this->next_unused_log = this->now + kMinLoggedUnusedTime;
+  if (!this->next_unused_log) {
+    this->next_unused_log = *since + kMinLoggedUnusedTime;
   }
-  if (this->now < this->next_unused_log) {
+  if (this->now < *this->next_unused_log) {
     return;
   }
-  const Time::duration unused = this->now - *this->unused_since;
+  const Time::duration unused = this->now - *since;
   this->next_unused_log = this->now + unused;
   using State = Announcer::EntryState;
   std::string details =
--- a/src/core/agent/announcer.cc
+++ b/src/core/agent/announcer.cc
@@ -111,6 +111,10 @@
   });
 }
 
+std::optional<Time> Announcer::UnusedSince() const {
+  return this->unused ? std::optional(this->unused->since) : std::nullopt;
+}
+
 std::size_t Announcer::EntriesIn(EntryState state) const {
   return static_cast<std::size_t>(std::ranges::count_if(
       this->entries, [state](const auto& item) { return StateOf(item.second) == state; }));
@@ -154,7 +158,7 @@
 
 Time::duration Announcer::UnusedInterval(Time now) const {
   // Half of the time since the last change makes each interval about as long as all before it.
-  return std::clamp<Time::duration>((now - *this->unused_since) / 2, kMinUnusedInterval,
+  return std::clamp<Time::duration>((now - this->unused->last_change) / 2, kMinUnusedInterval,
                                     kMaxUnusedInterval);
 }
 
@@ -163,23 +167,23 @@
     return entry.in_flight.size() < kMaxInFlight &&
            now - entry.last_sent >= this->health.heartbeat && this->is_active(address);
   }
-  const bool unused = this->unused_since && !this->leaving;
+  const bool is_unused = this->unused && !this->leaving;
   if (entry.failures > 0 || entry.unrecorded > 0) {
-    return now >= entry.retry_at || (unused && now - entry.last_sent >= kMaxAnnounceInterval);
+    return now >= entry.retry_at || (is_unused && now - entry.last_sent >= kMaxAnnounceInterval);
   }
   const Time::duration idle = now - entry.last_message;
   const Milliseconds interval =
       entry.member ? this->health.idle_heartbeat : this->health.distant_heartbeat;
-  return (unused && now - entry.last_sent >= this->UnusedInterval(now)) || idle >= interval ||
+  return (is_unused && now - entry.last_sent >= this->UnusedInterval(now)) || idle >= interval ||
          (idle >= this->health.heartbeat && this->is_active(address));
 }
 
 std::vector<Announcer::Due> Announcer::TakeDue(Time now) {
   this->DropSilent(now);
   if (this->IsUsed()) {
-    this->unused_since.reset();
-  } else if (!this->unused_since) {
-    this->unused_since = now;
+    this->unused.reset();
+  } else if (!this->unused) {
+    this->unused = Unused{now, now};
   }
   std::vector<Due> due;
   for (auto& [address, entry] : this->entries) {
@@ -213,8 +217,8 @@
   entry.knows_of_leaving = sent.leaving || entry.knows_of_leaving;
   const bool changed =
       entry.failures > 0 || entry.incarnation != reply.entry.incarnation || !reply.known;
-  if (this->unused_since && changed) {
-    this->unused_since = now;
+  if (this->unused && changed) {
+    this->unused->last_change = now;
   }
   entry.answered_once = true;
   entry.incarnation = reply.entry.incarnation;
--- a/src/core/agent/announcer.h
+++ b/src/core/agent/announcer.h
@@ -97,8 +97,9 @@
   /// Processes a message that an entry sent without being asked.
   void HandleNotice(const AnnounceReply& notice, Time now);
 
-  /// Whether an entry that answers counts the agent as a member.
-  bool IsUsed() const;
+  /// Since when no entry that answers counts the agent as a member, as of the last TakeDue; empty
+  /// while one does.
+  std::optional<Time> UnusedSince() const;
 
   /// Number of known entries in the state.
   std::size_t EntriesIn(EntryState state) const;
@@ -139,6 +140,8 @@
     std::deque<Sent> in_flight;
   };
 
+  /// Whether an entry that answers counts the agent as a member.
+  bool IsUsed() const;
   static EntryState StateOf(const Entry& entry);
   void ReportState(const std::string& address, Entry& entry);
   bool IsHeartbeatDue(const std::string& address, const Entry& entry, Time now) const;
@@ -156,9 +159,13 @@
   ActiveHook is_active;
   StateHook state_changed;
   bool leaving = false;
-  /// Start of the present period in which no entry counts the agent as a member, or the last change
-  /// at an entry during it; empty while one does.
-  std::optional<Time> unused_since;
+  /// The present period in which no entry counts the agent as a member.
+  struct Unused {
+    Time since{};
+    /// The last change at an entry during the period, or its start.
+    Time last_change{};
+  };
+  std::optional<Unused> unused;
   std::map<std::string, Entry> entries;
 };
 
