--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -60,7 +60,6 @@
   }
   quetzalvale::InitLog("quetzalvale-entry", quetzalvale::ParseLogLevel(loaded.log_level));
   quetzalvale::InitHttpThreads(kHttpThreads);
-  quetzalvale::ConnectionTable::OfProcess()->SetLimits(loaded.limits);
-  quetzalvale::LogConnectionEvents(*quetzalvale::ConnectionTable::OfProcess());
+  quetzalvale::ApplyConnectionLimits(loaded.limits);
   return Run(loaded);
 }
--- a/src/http/connection_report.cc
+++ b/src/http/connection_report.cc
@@ -42,7 +42,9 @@
 
 }  // namespace
 
-void LogConnectionEvents(ConnectionTable& table) {
+void ApplyConnectionLimits(const HttpLimits& limits) {
+  ConnectionTable& table = *ConnectionTable::OfProcess();
+  table.SetLimits(limits);
   table.SetObserver([](ConnectionEvent event, std::uint32_t address) {
     const Kind& kind = kKinds.at(static_cast<std::size_t>(event));
     // That a peer leaves its connection unused is usual.
--- a/src/http/connection_report.h
+++ b/src/http/connection_report.h
@@ -7,8 +7,9 @@
 
 class Metrics;
 
-/// Logs every event of the table from now on, within the log's budget for each kind.
-void LogConnectionEvents(ConnectionTable& table);
+/// Sets the limits of the process's table, and logs its events from now on, within the log's budget
+/// for each kind. Call before the first server starts.
+void ApplyConnectionLimits(const HttpLimits& limits);
 
 /// Sets the counters of the table's events.
 void ReportConnections(const ConnectionTable& table, Metrics& metrics);
