--- a/tests/agent/agent_fixture.h
+++ b/tests/agent/agent_fixture.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "core/agent/agent_core.h"
+#include "tests/support/select_actions.h"
 
 namespace quetzalvale {
 
@@ -40,16 +41,4 @@
   return request;
 }
 
-/// Returns the actions of type T, in order.
-template <typename T>
-std::vector<T> Select(const std::vector<AgentAction>& actions) {
-  std::vector<T> selected;
-  for (const auto& action : actions) {
-    if (const T* match = std::get_if<T>(&action)) {
-      selected.push_back(*match);
-    }
-  }
-  return selected;
-}
-
 }  // namespace quetzalvale
--- a/tests/core/evacuation_test.cc
+++ b/tests/core/evacuation_test.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/entry/entry_core.h"
+#include "tests/support/select_actions.h"
 
 namespace quetzalvale {
 namespace {
@@ -80,11 +81,7 @@
 
   template <typename Action>
   std::vector<Action> Select() const {
-    std::vector<Action> selected;
-    for (const EntryAction& action : this->actions) {
-      if (const auto* found = std::get_if<Action>(&action)) selected.push_back(*found);
-    }
-    return selected;
+    return quetzalvale::Select<Action>(this->actions);
   }
 
   template <typename Action>
--- a/tests/core/membership_test.cc
+++ b/tests/core/membership_test.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/entry/entry_core.h"
+#include "tests/support/select_actions.h"
 
 namespace quetzalvale {
 namespace {
@@ -41,11 +42,7 @@
 
   template <typename Action>
   std::vector<Action> Select() const {
-    std::vector<Action> selected;
-    for (const EntryAction& action : this->actions) {
-      if (const auto* found = std::get_if<Action>(&action)) selected.push_back(*found);
-    }
-    return selected;
+    return quetzalvale::Select<Action>(this->actions);
   }
 
   AnnounceReply AddAgent(const Incarnation& agent, const std::string& name) {
