--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -10,6 +10,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -65,9 +66,22 @@
     """HTTP/1.1 server; `handle` returns (status, body)."""
 
     async def listen(self, host, port):
+        self.channels = set()
         self.server = await asyncio.start_server(self.serve, host, port)
 
+    def cut_off(self):
+        """Ends as a process does that is killed: no listener, all channels reset."""
+        self.server.close()
+        for writer in self.channels:
+            try:
+                writer.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            except OSError:
+                continue  # closed already
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.channels.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -79,6 +93,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
+            self.channels.discard(writer)
             writer.close()
 
 
@@ -171,24 +186,44 @@
         self.zone = zone
         self.run_ms = run_ms or (lambda spec: 50)
         self.id = f"i-{name}"
+        self.starts = []  # [time, task, run, spec, end time or None, how it ended]
+        self.on_start = None  # called with each task begun; crashes the worker if it returns True
+        self.begin_life()
+
+    def begin_life(self):
+        """It holds and knows nothing of before, and its counts start anew."""
         self.born = int(time.time() * 1000)
-        self.zero = time.monotonic() - 1000
+        self.zero = time.monotonic()
         self.running, self.ended, self.stopped = {}, [], {}
-        self.fence = self.count = self.seq = 0
-        self.lease = 0
+        self.fence = self.count = self.seq = self.lease = 0
         self.state = "ready"
         self.changed = asyncio.Event()
-        self.starts = []  # (time, task, run, spec, end time or None)
+
+    async def crash(self, down_s, first_beat_s):
+        """Crashes, and starts again under its id, with its first report some time later."""
+        self.cut_off()
+        self.beating.cancel()
+        for key in list(self.running):
+            entry = self.running.pop(key)
+            entry["timer"].cancel()
+            entry["log"][4:] = [self.record.now(), "crashed"]
+        self.record(f"worker {self.name} ({self.service}) crashed")
+        await asyncio.sleep(down_s)
+        self.begin_life()
+        await self.listen(self.host, self.app_port)
+        self.record(f"worker {self.name} ({self.service}) started again, id {self.id}, born {self.born}")
+        self.beating = asyncio.create_task(self.beats(first_beat_s))
 
     def clock(self):
         return int((time.monotonic() - self.zero) * 1000)
 
     async def start(self):
         await self.listen(self.host, self.app_port)
-        asyncio.create_task(self.beats())
+        self.beating = asyncio.create_task(self.beats())
         asyncio.create_task(self.ticks())
 
-    async def beats(self):
+    async def beats(self, first_s=0.0):
+        await asyncio.sleep(first_s)
         while True:
             self.seq += 1
             body = {"service": self.service, "addr": f"{self.host}:{self.app_port}", "zone": self.zone,
@@ -274,6 +309,9 @@
             timer = asyncio.get_running_loop().call_later(
                 self.run_ms(call_["spec"]) / 1000, self.finish, key, "done")
             self.running[key] = {"cpu": ask, "timer": timer, "log": log}
+            if self.on_start and self.on_start(key[0]):
+                asyncio.create_task(self.crash(*self.crash_times))
+                await asyncio.sleep(3600)
             return 200, reply
         return 404, {}
 
