--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -495,6 +495,11 @@
     the case could not run."""
     async def run():
         fleet = Fleet(folder)
+
+        def end():
+            fleet.stop()
+            os._exit(NOT_RUN)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
         try:
             held = await asyncio.wait_for(play(fleet), limit)
         except asyncio.TimeoutError:
