--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -31,6 +31,8 @@
   /// No connection was made: the peer does not have the request.
   bool not_sent = false;
   std::string message;
+  /// The time was over; the connection had not broken before. Only HttpSession tells.
+  bool timed_out = false;
 };
 
 using HttpResult = std::variant<HttpResponse, HttpFailure>;
--- a/src/http/http_session.cc
+++ b/src/http/http_session.cc
@@ -241,6 +241,7 @@
   }
 
   void Fail(HttpFailure failure) {
+    failure.timed_out = this->timed_out;
     this->Drop();
     const Done done = std::exchange(this->call, std::nullopt)->done;
     done(std::move(failure));
--- a/tests/adapter/worker_report_server_test.cc
+++ b/tests/adapter/worker_report_server_test.cc
@@ -98,6 +98,48 @@
   EXPECT_EQ(this->server.LatestReport()->service, "s") << "whatever the other one's start";
 }
 
+// The clock of a machine was set back before its worker started again. The worker's reports were
+// taken for delayed ones of an earlier incarnation, and it never got an agent.
+TEST_F(WorkerReportServerTest, IncarnationThatAnswersReplacesOneOfALaterStart) {
+  this->Report(900, 5);
+  this->Report(500, 1);
+  ASSERT_EQ(this->server.LatestReport()->started_at, 900) << "a delayed report, as far as is known";
+  this->server.MarkReplaced(*this->server.LatestReport());
+  ASSERT_TRUE(this->server.LatestReport()) << "its agent still delivers outcomes";
+  this->Report(900, 6);
+  this->Report(500, 2);
+  ASSERT_EQ(this->server.LatestReport()->started_at, 500);
+  this->Report(900, 7);
+  EXPECT_EQ(this->server.LatestReport()->started_at, 500) << "the replaced one does not come back";
+}
+
+// The same after the earlier incarnation has left.
+TEST_F(WorkerReportServerTest, IncarnationAfterADepartureMayHaveAnEarlierStart) {
+  this->Report(900, 1);
+  this->Post("Leave", R"({"born":900})");
+  this->Report(500, 1);
+  ASSERT_TRUE(this->server.LatestReport());
+  EXPECT_EQ(this->server.LatestReport()->started_at, 500);
+}
+
+// A replaced worker does not keep its machine from one of another service.
+TEST_F(WorkerReportServerTest, ReplacedWorkerDoesNotHoldItsService) {
+  this->Report(500, 1);
+  this->server.MarkReplaced(*this->server.LatestReport());
+  this->Report(600, 1, "ready", "other");
+  EXPECT_EQ(this->server.LatestReport()->service, "other");
+}
+
+// Only the registered incarnation can be replaced: the agent may learn of it late.
+TEST_F(WorkerReportServerTest, NextIncarnationIsNotReplacedInPlaceOfItsPredecessor) {
+  this->Report(500, 1);
+  const WorkerReport first = *this->server.LatestReport();
+  this->Report(600, 1);
+  this->server.MarkReplaced(first);
+  this->Report(550, 1);
+  EXPECT_EQ(this->server.LatestReport()->started_at, 600);
+}
+
 TEST_F(WorkerReportServerTest, LateReportDoesNotEndDraining) {
   this->Report(500, 7, "draining");
   this->Report(500, 6);
--- a/tests/http/http_server_test.cc
+++ b/tests/http/http_server_test.cc
@@ -188,6 +188,7 @@
   const HttpResult refused = nobody.SendAndWait({"GET", "/"}, kPatience);
   ASSERT_TRUE(std::holds_alternative<HttpFailure>(refused));
   EXPECT_TRUE(std::get<HttpFailure>(refused).not_sent);
+  EXPECT_FALSE(std::get<HttpFailure>(refused).timed_out);
   std::atomic<int> requests{0};
   HttpResponder kept;
   // The first request gets no answer.
@@ -202,6 +203,7 @@
   const HttpResult lost = session.SendAndWait({"GET", "/"}, std::chrono::milliseconds(100));
   ASSERT_TRUE(std::holds_alternative<HttpFailure>(lost));
   EXPECT_FALSE(std::get<HttpFailure>(lost).not_sent);
+  EXPECT_TRUE(std::get<HttpFailure>(lost).timed_out) << "the peer has not closed the connection";
   // The session goes on with a new connection.
   const HttpResult next = session.SendAndWait({"GET", "/"}, kPatience);
   EXPECT_TRUE(std::holds_alternative<HttpResponse>(next));
