Ask the service's limit of tasks before they are built

Entries pass 160 MB, the memory of their machines, within a second and are killed; ordinary callers of the same entries lose their connections. All these jobs are refused in the end (too_many_tasks), so the memory is for nothing.

Cause: DecodeJob built the list of all tasks, each with a text of its own (16 MB for 100,000), and the limit of the service, 440, was only asked in the decision logic, after the list had waited there.

Change: DecodeJob is given the limit and refuses first.

WireTest.JobWithTooManyTasksIsRefusedBeforeItsTasksAreBuilt needs the new parameter.

--- a/tests/adapter/wire_fuzz_test.cc
+++ b/tests/adapter/wire_fuzz_test.cc
@@ -27,7 +27,7 @@
        R"({"spec":"x","best_effort":true,"steps":[{"count":2,"cpu":500,"mem_mb":256,"est_ms":90,)"
        R"("data_rack":"r1-3","gpu":0}]})",
        [](const std::string& text) {
-         const auto job = DecodeJob(kRoute, "5c0e7a21d94b36f8", text);
+         const auto job = DecodeJob(kRoute, "5c0e7a21d94b36f8", text, 100000);
          if (IsOk(job)) {
            RC_ASSERT(!std::get<Submission>(job).tasks.empty());
          }
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -13,6 +13,7 @@
 const QueueRoute kRoute{"r-1", "h.example", "/q/",           "svc", 1, Milliseconds(1500),
                         2,     1.6,         Milliseconds(60)};
 constexpr char kName[] = "5c0e7a21d94b36f8";
+constexpr std::uint32_t kMaxTasks = 440;
 
 template <typename T>
 ErrorKind KindOf(const Result<T>& result) {
@@ -22,7 +23,8 @@
 TEST(WireTest, DecodesAJobAndNamesItsTasks) {
   const auto decoded = DecodeJob(
       kRoute, kName,
-      R"({"spec":"a \"b\"","best_effort":true,"steps":[{"count":2,"cpu":500,"mem_mb":256,"est_ms":90}]})");
+      R"({"spec":"a \"b\"","best_effort":true,"steps":[{"count":2,"cpu":500,"mem_mb":256,"est_ms":90}]})",
+      kMaxTasks);
   ASSERT_TRUE(IsOk(decoded));
   const auto& job = std::get<Submission>(decoded);
   EXPECT_EQ(job.name, kName);
@@ -39,7 +41,9 @@
 
 // A job that must be kept would be lost if it were answered 2xx without being stored.
 TEST(WireTest, UnsupportedJobsAreDistinguishedFromMalformedOnes) {
-  const auto kind = [](const char* body) { return KindOf(DecodeJob(kRoute, kName, body)); };
+  const auto kind = [](const char* body) {
+    return KindOf(DecodeJob(kRoute, kName, body, kMaxTasks));
+  };
   EXPECT_EQ(kind(R"({"spec":"x","steps":[{"count":1}]})"), ErrorKind::kNotReady);
   EXPECT_EQ(kind(R"({"best_effort":true,"steps":[{"count":1},{"count":1,"after":[0]}]})"),
             ErrorKind::kNotReady);
@@ -192,7 +196,8 @@
   EXPECT_EQ(std::get<WorkerReport>(report).labels, (std::vector<std::string>{"a", "r1-3"}));
   const auto job = DecodeJob(
       kRoute, kName,
-      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":500,"data_rack":"r1-3"}]})");
+      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":500,"data_rack":"r1-3"}]})",
+      kMaxTasks);
   ASSERT_TRUE(IsOk(job));
   EXPECT_EQ(std::get<Submission>(job).data_rack, "r1-3");
 }
@@ -203,14 +208,31 @@
   const std::string spec(4000, 'x');
   EXPECT_EQ(KindOf(DecodeJob(kRoute, kName,
                              R"({"spec":")" + spec +
-                                 R"(","best_effort":true,"steps":[{"count":100000,"cpu":5}]})")),
+                                 R"(","best_effort":true,"steps":[{"count":100000,"cpu":5}]})",
+                             100000)),
             ErrorKind::kNotReady);
 }
 
+// A list of 100,000 tasks was built before the limit of the service was asked (review/15).
+TEST(WireTest, JobWithTooManyTasksIsRefusedBeforeItsTasksAreBuilt) {
+  const auto decode = [](std::uint32_t count) {
+    return DecodeJob(
+        kRoute, kName,
+        R"({"spec":"x","best_effort":true,"steps":[{"count":)" + std::to_string(count) + "}]}",
+        kMaxTasks);
+  };
+  EXPECT_EQ(KindOf(decode(kMaxTasks + 1)), ErrorKind::kTooManyTasks);
+  EXPECT_EQ(KindOf(decode(100000)), ErrorKind::kTooManyTasks);
+  const auto largest = decode(kMaxTasks);
+  ASSERT_TRUE(IsOk(largest));
+  EXPECT_EQ(std::get<Submission>(largest).tasks.size(), kMaxTasks);
+}
+
 TEST(WireTest, HugeEstimateIsBounded) {
   const auto job = DecodeJob(
       kRoute, kName,
-      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"est_ms":9223372036854775807}]})");
+      R"({"spec":"x","best_effort":true,"steps":[{"count":1,"est_ms":9223372036854775807}]})",
+      kMaxTasks);
   ASSERT_TRUE(IsOk(job));
   EXPECT_LE(std::get<Submission>(job).tasks[0].declared_run_time, std::chrono::hours(24));
 }
--- a/tests/clients/clients_test.cc
+++ b/tests/clients/clients_test.cc
@@ -15,6 +15,8 @@
 #include <thread>
 #include <vector>
 
+#include "http/http_server.h"
+#include "platform/wire.h"
 #include "protocol/codec.h"
 #include "scenario/child_process.h"
 #include "scenario/port_block.h"
@@ -108,6 +110,27 @@
     this->Start("agent", settings, this->report);
   }
 
+  /// Starts a store that has a configuration with one queue, for jobs at /q/. It answers no other
+  /// request than those for rows.
+  void ServeConfiguration() {
+    const std::string configuration =
+        R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/q/","service":"s",)"
+        R"("timeout_ms":1500,"max_attempts":1}],"limits":{"max_body_bytes":262144}})";
+    const auto row = ReadJson(platform::EncodeRowWrite("op", "config", configuration, 0));
+    Json::Value rows;
+    rows["ver"] = 1;
+    rows["rows"][0] = std::get<Json::Value>(row)["writes"][0];
+    rows["rows"][0]["ver"] = 1;
+    this->store_server = std::make_unique<HttpServer>(
+        this->store, [] { return kMb; },
+        [text = WriteJson(rows)](const HttpRequest& request, const HttpResponder& respond) {
+          if (request.path.back() == "rows-get" && request.query.at("table") == "op") {
+            respond({200, text});
+          }
+        });
+    ASSERT_EQ(this->store_server->Start(), "");
+  }
+
   /// Opens `count` connections from `from`.
   void Open(int count, const std::string& address, const std::string& from = "127.0.0.1",
             int receive_buffer = 0) {
@@ -206,6 +229,7 @@
   int first_port = 0;
   int last_port = 0;
   std::list<RawPeer> peers;
+  std::unique_ptr<HttpServer> store_server;
   std::unique_ptr<ChildProcess> process;
 
  private:
@@ -296,6 +320,33 @@
   this->CheckEntry();
 }
 
+// A request of 270 bytes became a list of 100,000 tasks, which took 16 MB each time until the limit
+// of the service was asked: 60 such peers made an entry exceed the memory of its machine.
+TEST_F(ClientsTest, EntryBoundsWhatSmallRequestsBecome) {
+  this->ServeConfiguration();
+  this->StartEntry();
+  EXPECT_TRUE(WaitFor([this] {
+    return Ask(this->ready, "GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n") == "HTTP/1.1 200 OK";
+  }));
+  const std::string body = R"({"spec":")" + std::string(36, 'q') +
+                           R"(","best_effort":true,"steps":[{"count":100000,"cpu":1000,)"
+                           R"("mem_mb":64,"est_ms":50}]})";
+  constexpr int kRounds = 5;
+  constexpr int kPeers = 60;
+  for (int round = 0; round < kRounds; ++round) {
+    this->peers.clear();
+    this->Open(kPeers, this->caller);
+    int number = 1000 * (round + 1);
+    for (RawPeer& peer : this->peers) {
+      peer.Send("POST /q/000000000000" + std::to_string(++number) +
+                " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+                "\r\n\r\n" + body);
+    }
+    this->Settle();
+  }
+  this->CheckEntry();
+}
+
 // The same in chunks, whose total size is not known beforehand.
 TEST_F(ClientsTest, EntryBoundsChunkedBodiesOfAllConnections) {
   this->StartEntry();
