Bound the memory of jobs that wait and of jobs in progress

Change: CoreThread counts the memory of the jobs that wait and refuses more (503, not run); jobs in progress are limited by EntryLimits. A specification longer than callers may send is refused, because every start carries it.

Tests CoreThreadTest.MemoryOfWaitingJobsIsBounded, RepeatableJobsTest.PayloadsOfJobsInProgressAreBounded and WireTest.SpecificationIsBounded; the first two need the new parameters. Tests of adapter, entry, core, http, protocol and docs pass.

--- a/src/core/entry/entry_core.cc
+++ b/src/core/entry/entry_core.cc
@@ -23,9 +23,10 @@
 
 EntryCore::EntryCore(EntryInfo self_info, std::vector<std::string> service_names,
                      std::vector<std::string> seed_addresses, std::uint64_t seed,
-                     EntryGuards entry_guards)
+                     EntryGuards entry_guards, const EntryLimits& entry_limits)
     : self(std::move(self_info)),
       guards(std::move(entry_guards)),
+      limits(entry_limits),
       random(seed),
       directory(this->self.incarnation),
       peers(this->self, seed_addresses) {
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -31,6 +31,12 @@
 
 namespace quetzalvale {
 
+/// Limits of one process, in addition to those of the configuration.
+struct EntryLimits {
+  /// Payloads of the jobs in progress.
+  std::size_t payload_bytes = std::size_t{256} << 20U;
+};
+
 /// Event-driven core of an entry. It receives events (requests, replies, the passage of time) and
 /// returns the actions that the program has to carry out (messages, answers, log lines). Owns the
 /// tickets issued by one entry incarnation and the jobs submitted with them.
@@ -44,7 +50,8 @@
   /// the settings. `seed` initializes the random number generator. `guards` replaces safety checks
   /// in tests.
   EntryCore(EntryInfo self, std::vector<std::string> services,
-            std::vector<std::string> seed_addresses, std::uint64_t seed, EntryGuards guards = {});
+            std::vector<std::string> seed_addresses, std::uint64_t seed, EntryGuards guards = {},
+            const EntryLimits& limits = {});
 
   /// Processes one event and everything that has become due by `event_time`. Returns the actions
   /// to carry out, in order.
@@ -446,6 +453,7 @@
 
   EntryInfo self;
   EntryGuards guards;
+  EntryLimits limits;
   Random random;
   Time now{};
   bool started = false;
--- a/src/core/entry/entry_core_submissions.cc
+++ b/src/core/entry/entry_core_submissions.cc
@@ -21,9 +21,8 @@
 /// given up.
 constexpr std::size_t kMaxWaiters = 64;
 
-/// Limits on jobs in progress, in addition to the configured limit of queued tasks.
+/// Limit on jobs in progress, in addition to the configured limit of queued tasks.
 constexpr std::size_t kMaxJobs = 50000;
-constexpr std::size_t kMaxPayloadBytes = std::size_t{256} << 20;
 
 constexpr const char* kResubmitWithFreshTicket = "submit again with a fresh ticket";
 
@@ -260,7 +259,7 @@
   for (const TaskSpec& task : submission.tasks) {
     bytes += task.payload.size();
   }
-  if (this->jobs.Size() >= kMaxJobs || bytes > kMaxPayloadBytes) {
+  if (this->jobs.Size() >= kMaxJobs || bytes > this->limits.payload_bytes) {
     return Refusal{ErrorKind::kOverloaded, "too many jobs are in progress; submit again later"};
   }
   if (auto refusal = this->CheckOverload(service, submission, load)) {
--- a/src/entry/core_thread.h
+++ b/src/entry/core_thread.h
@@ -1,6 +1,8 @@
 /// The thread that owns an entry's decision logic.
 #pragma once
 
+#include <atomic>
+#include <cstddef>
 #include <functional>
 #include <variant>
 #include <vector>
@@ -21,8 +23,9 @@
       std::function<void(Time posted, const EntryEvent& event, std::vector<EntryAction> actions)>;
   using StatusReceiver = std::function<void(const EntryStatus&)>;
 
-  /// `clock` must outlive the thread.
-  CoreThread(EntryCore core, const Clock& clock, Runner run);
+  /// `clock` must outlive the thread. `max_waiting_bytes` limits the memory of the jobs that wait
+  /// for the thread.
+  CoreThread(EntryCore core, const Clock& clock, Runner run, std::size_t max_waiting_bytes);
   ~CoreThread();
   CoreThread(const CoreThread&) = delete;
   CoreThread& operator=(const CoreThread&) = delete;
@@ -32,8 +35,8 @@
   /// Handles what was posted before, then ends the thread.
   void Stop();
 
-  /// Posts a request from outside. Returns false when the entry is overloaded; the event is then
-  /// not handled. Leaves room in the ring for results.
+  /// Posts a request from outside. Returns false when the entry is overloaded, or the jobs that
+  /// wait take too much memory; the event is then not handled. Leaves room in the ring for results.
   bool PostRequest(EntryEvent event);
 
   /// Posts a result that the logic waits for; waits for room. Lost only when the thread has
@@ -50,6 +53,8 @@
   struct Item {
     Time posted;
     std::variant<EntryEvent, StatusReceiver> content;
+    /// Counted in waiting_bytes.
+    std::size_t bytes = 0;
   };
 
   void Handle(const Item& item);
@@ -59,6 +64,8 @@
   const Clock& clock;
   Runner run;
   LagMeter lag;
+  const std::size_t max_waiting_bytes;
+  std::atomic<std::size_t> waiting_bytes{0};
   EventLoop<Item> loop;
 };
 
--- a/src/entry/entry_runtime.cc
+++ b/src/entry/entry_runtime.cc
@@ -25,11 +25,12 @@
 std::string EntryRuntime::Start(std::vector<std::string> seeds) {
   this->core = std::make_unique<CoreThread>(
       EntryCore(this->options.self, this->options.services, std::move(seeds), DrawSeed(),
-                this->options.guards),
+                this->options.guards, this->options.limits),
       this->clock,
       [this](quetzalvale::Time posted, const EntryEvent& event, std::vector<EntryAction> actions) {
         this->runner->Run(posted, event, std::move(actions));
-      });
+      },
+      this->options.max_waiting_bytes);
   this->inner = std::make_unique<InnerApi>(*this->core, this->book, this->ids);
   this->runner = std::make_unique<ActionRunner>(ActionRunner::Parts{
       *this->core, this->open, *this->inner, this->senders, this->options.claim_key,
--- a/src/entry/entry_runtime.h
+++ b/src/entry/entry_runtime.h
@@ -39,6 +39,9 @@
     std::function<void(const ClaimKey&)> claim_key;
     /// Renders the answer to a caller's job.
     std::function<HttpResponse(const Answer&)> render_answer;
+    /// Memory of the jobs that wait for the decision logic.
+    std::size_t max_waiting_bytes = std::size_t{256} << 20U;
+    EntryLimits limits{};
   };
 
   explicit EntryRuntime(Options options);
--- a/tests/adapter/wire_test.cc
+++ b/tests/adapter/wire_test.cc
@@ -243,6 +243,20 @@
   EXPECT_EQ(std::get<Submission>(largest).tasks.size(), kMaxTasks);
 }
 
+// Each start carries the specification, so a few jobs with one of a megabyte took more than the
+// memory of an entry.
+TEST(WireTest, SpecificationIsBounded) {
+  const auto decode = [](const std::string& spec) {
+    return DecodeJob(kRoute, kName,
+                     R"({"spec":")" + spec + R"(","best_effort":true,"steps":[{"count":1}]})",
+                     kMaxTasks);
+  };
+  std::string escaped;
+  for (int i = 0; i < 4000; ++i) escaped += "\\u0001";
+  EXPECT_TRUE(IsOk(decode(escaped))) << "the longest that a caller may send";
+  EXPECT_EQ(KindOf(decode(std::string(25000, 'x'))), ErrorKind::kNotReady);
+}
+
 TEST(WireTest, HugeEstimateIsBounded) {
   const auto job = DecodeJob(
       kRoute, kName,
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -165,6 +165,34 @@
   EXPECT_EQ(started_tasks(), 2U);
 }
 
+// Jobs in progress could hold 256 MB, more than the machine of an entry has (review/15).
+TEST_F(RepeatableJobsTest, PayloadsOfJobsInProgressAreBounded) {
+  EntryLimits limits;
+  limits.payload_bytes = 10000;
+  this->core = EntryCore({kEntry, "self", "dc"}, {}, {}, 1, {}, limits);
+  this->Configure(3, {Kind("k", 2)});
+  this->AddAgent(kAgent, "a");
+  Submission submission;
+  submission.service = "s";
+  submission.kind = "k";
+  submission.tasks.resize(1);
+  submission.payload_tail = std::string(4000, 'x');
+  const auto submit = [&](RequestId request) {
+    submission.name = "00000000000000a" + std::to_string(request);
+    this->Send(JobSubmitted{request, submission});
+    return this->FindAnswer() == nullptr;
+  };
+  ASSERT_TRUE(submit(1));
+  const StartRequest start = this->AcceptLastStart();
+  EXPECT_EQ(start.items[0].spec.payload, "null" + submission.payload_tail);
+  EXPECT_TRUE(submit(2));
+  ASSERT_FALSE(submit(3));
+  EXPECT_EQ(this->FindAnswer()->error, ErrorKind::kOverloaded);
+  EXPECT_TRUE(this->FindAnswer()->not_run);
+  this->ReportOutcome(start, true);
+  EXPECT_TRUE(submit(4)) << "the ended job makes room";
+}
+
 // A caller that closed its connection may submit the job to another entry, so the job must not
 // continue here.
 TEST_F(RepeatableJobsTest, StopsTasksWhenCallerDisconnects) {
