Find a job by its name whatever has become of its queue

Cause: repeatable jobs were kept by service and name, and requests asked for the service that the queue has now. Evidence: 1045 with found=false at the entry that runs the job. A copy of the job missed it in the same way and started its tasks again beside the first.

A name is unique among callers' jobs, and names their tasks on workers already.

CancellationFindsAJobWhoseQueueWasMovedOrDropped (410 and 404 in place of 200), RepeatableJobsTest.CopyFindsAJobWhoseQueueWasMoved (the copy is answered by itself, and a late one gets no stored answer).

--- a/src/core/entry/entry_core_jobs.cc
+++ b/src/core/entry/entry_core_jobs.cc
@@ -245,7 +245,7 @@
   if (!job.IsRepeatable()) {
     service.ledger.KeepAnswer(job.ticket.sequence, job.body_hash, answer, this->now);
   } else if (answer.status == AnswerStatus::kComplete || answer.reason == "task_failed") {
-    this->repeatable_answers.Keep(service.name + "/" + job.name, job.body_hash, answer, this->now);
+    this->repeatable_answers.Keep(job.name, job.body_hash, answer, this->now);
   }
   if (job.renewal_on_time) {
     service.renewal.Answered(
--- a/src/core/entry/entry_core_repeatable.cc
+++ b/src/core/entry/entry_core_repeatable.cc
@@ -18,7 +18,7 @@
 
 void EntryCore::SubmitRepeatable(ServiceState& service, const Waiter& waiter,
                                  const Submission& submission) {
-  if (Job* job = this->jobs.FindNamed(service.name, submission.name)) {
+  if (Job* job = this->jobs.FindNamed(submission.name)) {
     if (job->answered || job->failure) {
       this->Refuse(waiter,
                    {ErrorKind::kOverloaded,
@@ -29,7 +29,7 @@
     }
     return;
   }
-  const auto* stored = this->repeatable_answers.Find(service.name + "/" + submission.name);
+  const auto* stored = this->repeatable_answers.Find(submission.name);
   if (stored != nullptr && stored->body_hash == submission.body_hash) {
     this->Deliver(waiter, stored->answer);
     return;
@@ -94,7 +94,7 @@
 
 void EntryCore::On(const NamedJobCancelled& event) {
   const Waiter waiter{Waiter::Kind::kCaller, event.request, {}};
-  Job* job = this->jobs.FindNamed(event.service, event.name);
+  Job* job = this->jobs.FindNamed(event.name);
   this->Log(1045, "job_cancelled",
             "job=" + event.name + " found=" + (job != nullptr ? "true" : "false"));
   if (job == nullptr) {
@@ -110,8 +110,7 @@
   answer.reason = kCancelledByRequest;
   answer.message = "the job was cancelled";
   // A copy of the submission may still arrive and must not run.
-  this->repeatable_answers.Keep(event.service + "/" + event.name, job->body_hash, answer,
-                                this->now);
+  this->repeatable_answers.Keep(event.name, job->body_hash, answer, this->now);
   this->FailJob(*job, kCancelledByRequest, answer.message, true);
   this->Deliver(waiter, std::move(answer));
 }
--- a/src/core/entry/entry_events.h
+++ b/src/core/entry/entry_events.h
@@ -58,7 +58,6 @@
 /// failed with kCancelledByRequest, or refused with kNotFound if no such job is in progress here.
 struct NamedJobCancelled {
   RequestId request = 0;
-  std::string service;
   std::string name;
 };
 
--- a/src/core/entry/job_table.cc
+++ b/src/core/entry/job_table.cc
@@ -14,7 +14,7 @@
   this->payload_bytes += job.payload_bytes;
   this->by_ticket[job.ticket] = job.id;
   if (job.IsRepeatable()) {
-    this->by_name[{job.ticket.service, job.name}] = job.id;
+    this->by_name[job.name] = job.id;
   }
   this->due.emplace(job.deadline, job.id);
   this->due_of[job.id] = job.deadline;
@@ -38,8 +38,8 @@
   return found == this->by_ticket.end() ? nullptr : this->Find(found->second);
 }
 
-Job* JobTable::FindNamed(const std::string& service, const std::string& name) {
-  const auto found = this->by_name.find({service, name});
+Job* JobTable::FindNamed(const std::string& name) {
+  const auto found = this->by_name.find(name);
   return found == this->by_name.end() ? nullptr : this->Find(found->second);
 }
 
@@ -106,7 +106,9 @@
   }
   this->MarkAnswered(found->second);
   this->by_ticket.erase(found->second.ticket);
-  this->by_name.erase({found->second.ticket.service, found->second.name});
+  if (found->second.IsRepeatable()) {
+    this->by_name.erase(found->second.name);
+  }
   this->jobs.erase(found);
 }
 
--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -160,7 +160,7 @@
   const Job* Find(std::uint64_t id) const;
   Job* Find(const Ticket& ticket);
   /// Returns the service's repeatable job with this name, or nullptr.
-  Job* FindNamed(const std::string& service, const std::string& name);
+  Job* FindNamed(const std::string& name);
   /// Returns the repeatable job whose answer the caller's request waits for, or nullptr.
   Job* FindByRequest(RequestId request);
 
@@ -190,8 +190,9 @@
   std::uint64_t next_id = 1;
   std::unordered_map<std::uint64_t, Job> jobs;
   std::unordered_map<Ticket, std::uint64_t> by_ticket;
-  /// Repeatable jobs by service and name.
-  std::map<std::pair<std::string, std::string>, std::uint64_t> by_name;
+  /// Repeatable jobs by name. Not by service as well: the configuration may have moved a job's
+  /// queue to another service since the job was accepted.
+  std::map<std::string, std::uint64_t> by_name;
   /// One element for each job that is not answered.
   std::set<std::pair<Time, std::uint64_t>> due;
   std::unordered_map<std::uint64_t, Time> due_of;
--- a/tests/adapter/job_api_test.cc
+++ b/tests/adapter/job_api_test.cc
@@ -20,13 +20,33 @@
  protected:
   JobApiTest() : runtime(MakeOptions()), api(this->runtime, 1) {
     EXPECT_EQ(this->runtime.Start({}), "");
+    this->api.SetRoutes({MakeRoute()});
+  }
+
+  static QueueRoute MakeRoute() {
     QueueRoute route;
     route.name = "queue";
     route.host = "desk.example";
     route.path_prefix = "/jobs/";
     route.service = "s";
     route.timeout = Milliseconds(1500);
-    this->api.SetRoutes({route});
+    return route;
+  }
+
+  /// Adds an agent that does not answer, so that jobs stay in progress.
+  void AddAgent() {
+    OperatorConfiguration configuration;
+    configuration.version = 1;
+    configuration.routes = {MakeRoute()};
+    for (const auto& [service, document] : ServiceDocuments(configuration, Milliseconds(1000), 1)) {
+      this->runtime.Book().Offer(service, {1, document}, "the test");
+    }
+    Announce announce{{5, 1}, "a", "s", "dc", NextLoopbackAddress(), {}, {}};
+    announce.worker.slots = 8;
+    announce.worker.cores = 8;
+    announce.worker.memory_mb = 1000;
+    announce.load.free_slots = 8;
+    this->runtime.Core().PostResult(AgentAnnounced{0, announce});
   }
 
   ~JobApiTest() override {
@@ -122,6 +142,33 @@
   EXPECT_EQ(this->Handle(MakeRequest("DELETE")).status, 410);
 }
 
+// A job in progress could not be cancelled once the configuration had moved its queue to another
+// service or dropped it, and its tasks worked on (review/14).
+TEST_F(JobApiTest, CancellationFindsAJobWhoseQueueWasMovedOrDropped) {
+  this->AddAgent();
+  for (const bool dropped : {false, true}) {
+    SCOPED_TRACE(dropped);
+    QueueRoute moved = MakeRoute();
+    this->api.SetRoutes({moved});
+    HttpRequest request = MakeRequest("POST");
+    request.body = R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":100,"est_ms":50}]})";
+    request.headers = {{"x-deadline-ms", "20000"}};
+    std::promise<HttpResponse> answered;
+    auto answer = answered.get_future();
+    request.exchange = dropped ? 2 : 1;
+    request.target = "/jobs/00000000000000b" + std::to_string(request.exchange);
+    this->api.Handle(request, [&](HttpResponse result) { answered.set_value(result); });
+    moved.service = "other";
+    this->api.SetRoutes(dropped ? std::vector<QueueRoute>{} : std::vector<QueueRoute>{moved});
+    HttpRequest cancellation = MakeRequest("DELETE");
+    cancellation.target = request.target;
+    EXPECT_EQ(this->Handle(cancellation).status, 200);
+    ASSERT_EQ(answer.wait_for(kTestTimeout), std::future_status::ready);
+    EXPECT_EQ(answer.get().body, R"({"state":"cancelled"})");
+  }
+  EXPECT_EQ(this->Handle(MakeRequest("DELETE")).status, 404) << "no such queue, and no such job";
+}
+
 // A caller that was told 504 would submit the cancelled job again.
 TEST(RenderJobAnswerTest, CancelledJobIsAnsweredAsEnded) {
   Answer answer;
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -32,8 +32,13 @@
   }
 
   void Configure(std::uint64_t version, std::vector<KindConfiguration> kinds) {
+    this->ConfigureService("s", version, std::move(kinds));
+  }
+
+  void ConfigureService(const std::string& service, std::uint64_t version,
+                        std::vector<KindConfiguration> kinds = {Kind("k", 2)}) {
     auto configuration = std::make_shared<ServiceConfiguration>();
-    configuration->service = "s";
+    configuration->service = service;
     configuration->version = version;
     configuration->kinds = std::move(kinds);
     configuration->remote_data_factor = 3;
@@ -165,6 +170,30 @@
   EXPECT_EQ(started_tasks(), 2U);
 }
 
+// A job was sought under the service that its queue has now. A copy of one whose queue had been
+// moved started its tasks again beside the first (review/14).
+TEST_F(RepeatableJobsTest, CopyFindsAJobWhoseQueueWasMoved) {
+  this->ConfigureService("t", 4);
+  this->Submit(1);
+  const StartRequest start = this->AcceptLastStart();
+  Submission copy;
+  copy.service = "t";
+  copy.name = "00000000000000a1";
+  copy.kind = "k";
+  copy.tasks.resize(1);
+  this->Send(JobSubmitted{2, copy});
+  EXPECT_EQ(this->FindAnswer(), nullptr) << "the copy waits for the job in progress";
+  this->ReportOutcome(start, true);
+  EXPECT_EQ(std::ranges::count_if(this->actions,
+                                  [](const EntryAction& action) {
+                                    return std::holds_alternative<AnswerCaller>(action);
+                                  }),
+            2);
+  this->Send(JobSubmitted{3, copy});
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->status, AnswerStatus::kComplete) << "a late copy gets the answer";
+}
+
 // Jobs in progress could hold 256 MB, more than the machine of an entry has (review/15).
 TEST_F(RepeatableJobsTest, PayloadsOfJobsInProgressAreBounded) {
   EntryLimits limits;
@@ -209,7 +238,7 @@
 TEST_F(RepeatableJobsTest, CancelledJobEndsItsRunsAndItsCopyDoesNotRun) {
   this->Submit(1);
   const StartRequest start = this->AcceptLastStart();
-  this->Send(NamedJobCancelled{2, "s", "00000000000000a1"});
+  this->Send(NamedJobCancelled{2, "00000000000000a1"});
   const auto* withdraw = this->Find<SendWithdraw>();
   ASSERT_NE(withdraw, nullptr);
   EXPECT_TRUE(withdraw->message.stop_running);
@@ -230,7 +259,7 @@
 }
 
 TEST_F(RepeatableJobsTest, CancellationOfAnUnknownJobSaysSo) {
-  this->Send(NamedJobCancelled{1, "s", "00000000000000a1"});
+  this->Send(NamedJobCancelled{1, "00000000000000a1"});
   ASSERT_NE(this->FindAnswer(), nullptr);
   EXPECT_EQ(this->FindAnswer()->error, ErrorKind::kNotFound);
 }
