--- a/src/core/entry/entry_core.cc
+++ b/src/core/entry/entry_core.cc
@@ -71,6 +71,7 @@
   this->AdvanceForwards();
   this->AdvanceSalvages();
   this->SendAnswers();
+  this->TellCancellations();
   this->withdrawals_due = true;
   if (this->now < this->next_expiry) {
     return;
@@ -86,6 +87,7 @@
   this->directory.Expire(retention, this->now);
   this->salvage_answers.Expire(this->now);
   this->repeatable_answers.Expire(this->now);
+  this->cancellations.Expire(this->now);
   this->ExpireAdopted(retention);
 }
 
--- a/src/core/entry/entry_core.h
+++ b/src/core/entry/entry_core.h
@@ -15,6 +15,7 @@
 #include "core/entry/agent_directory.h"
 #include "core/entry/answer_outbox.h"
 #include "core/entry/answer_store.h"
+#include "core/entry/cancellations.h"
 #include "core/entry/entry_events.h"
 #include "core/entry/entry_guards.h"
 #include "core/entry/entry_status.h"
@@ -165,6 +166,8 @@
   void On(const KeyClaimed& event);
   void On(const CallerDisconnected& event);
   void On(const NamedJobCancelled& event);
+  void On(const CancellationsReceived& event);
+  void On(const CancellationsReplied& event);
   void On(const AgentAnnounced& event);
   void On(const HeartbeatReceived& event);
   void On(const NoticeReplied& event);
@@ -224,6 +227,8 @@
   /// its starts. Returns nothing otherwise.
   std::optional<Refusal> CheckRoundTripTime() const;
   void SubmitRepeatable(ServiceState& service, const Waiter& waiter, const Submission& submission);
+  /// Tells other entries of the cancellations that they do not know yet.
+  void TellCancellations();
   /// Logs why a repeatable job is rejected, with the load on which the decision was based.
   void LogRejection(const ServiceState& service, const Submission& submission,
                     const Refusal& refusal);
@@ -487,6 +492,8 @@
   TicketAnswers salvage_answers;
   /// Answers of repeatable jobs, for copies of the submission that arrive late.
   RepeatableAnswers repeatable_answers;
+  /// Cancelled repeatable jobs, which must not run.
+  Cancellations cancellations;
   /// Round trips of the starts sent to agents.
   RoundTrips round_trips;
   /// By former owner and service.
--- a/src/core/entry/entry_core_repeatable.cc
+++ b/src/core/entry/entry_core_repeatable.cc
@@ -14,11 +14,21 @@
 /// start, because refused starts are sent again and slow the entry down further.
 constexpr Milliseconds kMaxRoundTrip{125};
 
+Answer CancelledAnswer() {
+  Answer answer;
+  answer.status = AnswerStatus::kFailed;
+  answer.reason = kCancelledByRequest;
+  answer.message = "the job was cancelled";
+  return answer;
+}
+
 }  // namespace
 
 void EntryCore::SubmitRepeatable(ServiceState& service, const Waiter& waiter,
                                  const Submission& submission) {
-  if (Job* job = this->jobs.FindNamed(submission.name)) {
+  const bool cancelled = this->cancellations.Contains(submission.name);
+  Job* job = this->jobs.FindNamed(submission.name);
+  if (job != nullptr && !cancelled) {
     if (job->answered || job->failure) {
       this->Refuse(waiter,
                    {ErrorKind::kOverloaded,
@@ -34,6 +44,10 @@
     this->Deliver(waiter, stored->answer);
     return;
   }
+  if (cancelled) {
+    this->Deliver(waiter, CancelledAnswer());
+    return;
+  }
   // The ticket identifies the job to the agents. The caller never sees it.
   const auto tickets = service.ledger.Issue(1, this->directory.RosterNumber(), this->now);
   if (tickets.empty()) {
@@ -94,6 +108,9 @@
 
 void EntryCore::On(const NamedJobCancelled& event) {
   const Waiter waiter{Waiter::Kind::kCaller, event.request, {}};
+  // Also if the job is not here: it may be at another entry, and a copy of its submission may still
+  // arrive at any.
+  this->cancellations.Add(event.name, true, this->now);
   Job* job = this->jobs.FindNamed(event.name);
   this->Log(1045, "job_cancelled",
             "job=" + event.name + " found=" + (job != nullptr ? "true" : "false"));
@@ -105,14 +122,46 @@
     this->Deliver(waiter, std::move(answer));
     return;
   }
-  Answer answer;
-  answer.status = AnswerStatus::kFailed;
-  answer.reason = kCancelledByRequest;
-  answer.message = "the job was cancelled";
-  // A copy of the submission may still arrive and must not run.
-  this->repeatable_answers.Keep(event.name, job->body_hash, answer, this->now);
-  this->FailJob(*job, kCancelledByRequest, answer.message, true);
-  this->Deliver(waiter, std::move(answer));
+  this->FailJob(*job, kCancelledByRequest, CancelledAnswer().message, true);
+  this->Deliver(waiter, CancelledAnswer());
+}
+
+void EntryCore::On(const CancellationsReceived& event) {
+  for (const std::string& name : event.message.names) {
+    if (this->cancellations.Contains(name)) {
+      continue;
+    }
+    this->cancellations.Add(name, false, this->now);
+    if (Job* job = this->jobs.FindNamed(name)) {
+      this->Log(1045, "job_cancelled",
+                "job=" + name + " found=true told_by=" + event.message.from.Text());
+      this->FailJob(*job, kCancelledByRequest, CancelledAnswer().message, true);
+    }
+  }
+  this->Emit(ReplyAcknowledgement{event.request, {this->self.incarnation, true}});
+}
+
+void EntryCore::On(const CancellationsReplied& event) {
+  const auto* reply = std::get_if<Acknowledgement>(&event.reply);
+  // Another process that has the peer's address now is told for itself.
+  const bool confirmed = reply != nullptr && reply->accepted && reply->from == event.to;
+  this->cancellations.OnReplied(event.to, event.last, confirmed);
+}
+
+void EntryCore::TellCancellations() {
+  if (!this->cancellations.HasOwn()) {
+    return;
+  }
+  for (const auto& [incarnation, peer] : this->peers.Peers()) {
+    if (peer.gone) {
+      this->cancellations.ForgetPeer(incarnation);
+    } else if (auto batch = this->cancellations.TakeDue(incarnation, this->now)) {
+      this->Emit(SendCancellations{peer.info.address,
+                                   incarnation,
+                                   batch->last,
+                                   {this->self.incarnation, std::move(batch->names)}});
+    }
+  }
 }
 
 void EntryCore::On(const CallerDisconnected& event) {
--- a/src/core/entry/entry_events.h
+++ b/src/core/entry/entry_events.h
@@ -61,6 +61,18 @@
   std::string name;
 };
 
+/// Another entry tells of jobs that were cancelled there. Answered by ReplyAcknowledgement.
+struct CancellationsReceived {
+  RequestId request = 0;
+  CancelledJobs message;
+};
+/// Result of SendCancellations.
+struct CancellationsReplied {
+  Incarnation to;
+  std::uint64_t last = 0;
+  Result<Acknowledgement> reply;
+};
+
 /// An agent announced itself. Answered by ReplyAnnounce.
 struct AgentAnnounced {
   RequestId request = 0;
@@ -169,11 +181,11 @@
 
 using EntryEvent =
     std::variant<JobSubmitted, TicketsRequested, JobQueried, JobCancelled, KeyClaimed,
-                 CallerDisconnected, NamedJobCancelled, AgentAnnounced, HeartbeatReceived,
-                 NoticeReplied, StartReplied, WithdrawReplied, SealReplied, OutcomesReceived,
-                 HelloReceived, HelloReplied, ForwardReceived, ForwardReplied, AnswerReceived,
-                 AnswerReplied, HandOverReceived, HandOverReplied, EntriesRead,
-                 ConfigurationChanged, EvacuationsRead, LeaveRequested, Tick>;
+                 CallerDisconnected, NamedJobCancelled, CancellationsReceived, CancellationsReplied,
+                 AgentAnnounced, HeartbeatReceived, NoticeReplied, StartReplied, WithdrawReplied,
+                 SealReplied, OutcomesReceived, HelloReceived, HelloReplied, ForwardReceived,
+                 ForwardReplied, AnswerReceived, AnswerReplied, HandOverReceived, HandOverReplied,
+                 EntriesRead, ConfigurationChanged, EvacuationsRead, LeaveRequested, Tick>;
 
 // ---- Actions ------------------------------------------------------------------------------
 
@@ -254,6 +266,14 @@
   std::string address;
   CancelRequest message;
 };
+/// Tell another entry of cancelled jobs. The result comes as CancellationsReplied.
+struct SendCancellations {
+  std::string address;
+  Incarnation to;
+  /// See Cancellations::Batch.
+  std::uint64_t last = 0;
+  CancelledJobs message;
+};
 
 // Replies to internal calls. `request` is the id in the event that is answered.
 
@@ -307,7 +327,7 @@
 using EntryAction =
     std::variant<AnswerCaller, GrantTickets, AnswerQuery, ClaimKey, SendStart, SendWithdraw,
                  SendSeal, SendNotice, SendHello, SendForward, SendAnswer, SendHandOver, SendCancel,
-                 ReplyAnnounce, ReplyOutcomes, ReplyHello, ReplyForward, ReplyAcknowledgement,
-                 ReportJob, LogEvent, Departed>;
+                 SendCancellations, ReplyAnnounce, ReplyOutcomes, ReplyHello, ReplyForward,
+                 ReplyAcknowledgement, ReportJob, LogEvent, Departed>;
 
 }  // namespace quetzalvale
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -383,6 +383,12 @@
   Ticket ticket;
 };
 
+/// Tells another entry which repeatable jobs callers have cancelled at the sender, by name.
+struct CancelledJobs {
+  Incarnation from;
+  std::vector<std::string> names;
+};
+
 /// One part of a leaving entry's ledger of used tickets, with the answers that it still retains.
 struct HandOver {
   Incarnation owner;
--- a/src/entry/action_runner.cc
+++ b/src/entry/action_runner.cc
@@ -129,6 +129,13 @@
                                                    [](const Result<Acknowledgement>&) {});
 }
 
+void ActionRunner::On(SendCancellations& action) {
+  this->Send<Acknowledgement>(action.address, "cancelled_jobs", action.message,
+                              [to = action.to, last = action.last](Result<Acknowledgement> reply) {
+                                return CancellationsReplied{to, last, std::move(reply)};
+                              });
+}
+
 void ActionRunner::On(ReplyAnnounce& action) {
   this->parts.inner.Reply(action.request, action.reply);
 }
--- a/src/entry/action_runner.h
+++ b/src/entry/action_runner.h
@@ -52,6 +52,7 @@
   void On(SendAnswer& action);
   void On(SendHandOver& action);
   void On(SendCancel& action);
+  void On(SendCancellations& action);
   void On(ReplyAnnounce& action);
   void On(ReplyOutcomes& action);
   void On(ReplyHello& action);
--- a/src/entry/inner_api.cc
+++ b/src/entry/inner_api.cc
@@ -35,6 +35,10 @@
   this->calls.Register<CancelRequest>(server, "cancel", [](RequestId id, CancelRequest message) {
     return JobCancelled{id, message.ticket};
   });
+  this->calls.Register<CancelledJobs>(server, "cancelled_jobs",
+                                      [](RequestId id, CancelledJobs message) {
+                                        return CancellationsReceived{id, std::move(message)};
+                                      });
   server.Register("configuration", [this](const Json::Value& parameters) {
     return this->ServeConfiguration(parameters);
   });
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -269,6 +269,12 @@
   visit("ticket", m.ticket);
 }
 
+template <typename V>
+void VisitFields(V& visit, CancelledJobs& m) {
+  visit("from", m.from);
+  visit("names", m.names);
+}
+
 template <typename V>
 void VisitFields(V& visit, HandOver::RetainedAnswer& m) {
   visit("sequence", m.sequence);
--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -15,6 +15,7 @@
 constexpr Incarnation kEntry{1, 1};
 constexpr Incarnation kAgent{5, 1};
 constexpr Incarnation kOtherAgent{5, 2};
+constexpr Incarnation kPeer{9, 1};
 constexpr Milliseconds kDeadline{2000};
 
 class RepeatableJobsTest : public testing::Test {
@@ -264,6 +265,55 @@
   EXPECT_EQ(this->FindAnswer()->error, ErrorKind::kNotFound);
 }
 
+// A copy of the submission of a cancelled job arrived at another entry, which knew nothing of the
+// cancellation, and ran (review/13).
+TEST_F(RepeatableJobsTest, CopyOfAJobCancelledAtAnotherEntryDoesNotRun) {
+  this->Send(CancellationsReceived{7, {kPeer, {"00000000000000a1"}}});
+  ASSERT_NE(this->Find<ReplyAcknowledgement>(), nullptr);
+  EXPECT_TRUE(this->Find<ReplyAcknowledgement>()->reply.accepted);
+  this->Submit(1);
+  EXPECT_EQ(this->Find<SendStart>(), nullptr);
+  ASSERT_NE(this->FindAnswer(), nullptr);
+  EXPECT_EQ(this->FindAnswer()->reason, kCancelledByRequest);
+  this->Submit(2, "", std::nullopt, "00000000000000a2");
+  EXPECT_NE(this->Find<SendStart>(), nullptr) << "another job is not affected";
+}
+
+// A cancellation that reached another entry than the one with the job ended nothing.
+TEST_F(RepeatableJobsTest, CancellationAtAnotherEntryEndsTheJobHere) {
+  this->Submit(1);
+  this->AcceptLastStart();
+  this->Send(CancellationsReceived{7, {kPeer, {"00000000000000a1"}}});
+  const auto* withdraw = this->Find<SendWithdraw>();
+  ASSERT_NE(withdraw, nullptr);
+  EXPECT_TRUE(withdraw->message.stop_running);
+}
+
+// Also of a job that is not here: it may be at another entry.
+TEST_F(RepeatableJobsTest, OtherEntriesAreToldOfCancellationsUntilTheyConfirm) {
+  Hello hello;
+  hello.entry = {kPeer, "peer", "dc"};
+  this->Send(HelloReceived{5, hello});
+  this->Send(NamedJobCancelled{1, "00000000000000a1"});
+  const auto told = [this](Milliseconds later) {
+    this->now += later;
+    this->Send(Tick{});
+    const auto* message = this->Find<SendCancellations>();
+    return message == nullptr ? std::vector<std::string>{} : message->message.names;
+  };
+  const std::vector<std::string> names{"00000000000000a1"};
+  EXPECT_EQ(told(Milliseconds(10)), names);
+  const SendCancellations first = *this->Find<SendCancellations>();
+  EXPECT_EQ(first.to, kPeer);
+  this->Send(CancellationsReplied{kPeer, first.last, Error{ErrorKind::kUnreachable, "lost"}});
+  EXPECT_EQ(told(Cancellations::kInterval), names) << "sent again";
+  // Another process has the peer's address: it confirms nothing for this one.
+  this->Send(CancellationsReplied{kPeer, first.last, Acknowledgement{kOtherAgent, true}});
+  EXPECT_EQ(told(Cancellations::kInterval), names);
+  this->Send(CancellationsReplied{kPeer, first.last, Acknowledgement{kPeer, true}});
+  EXPECT_TRUE(told(Cancellations::kInterval).empty());
+}
+
 TEST_F(RepeatableJobsTest, JobContinuesWhileCopyOfRequestWaits) {
   this->Submit(1);
   this->AcceptLastStart();
--- a/tests/protocol/packed_codec_test.cc
+++ b/tests/protocol/packed_codec_test.cc
@@ -53,6 +53,7 @@
   CheckRoundTrip<ForwardReply>("forward reply");
   CheckRoundTrip<AnswerRequest>("answer");
   CheckRoundTrip<CancelRequest>("cancel");
+  CheckRoundTrip<CancelledJobs>("cancelled_jobs");
   CheckRoundTrip<HandOver>("hand_over");
   CheckRoundTrip<Acknowledgement>("acknowledgement");
 }
--- a/tests/protocol/sample_messages.h
+++ b/tests/protocol/sample_messages.h
@@ -97,6 +97,7 @@
           MakeMessageKind<ForwardReply>("forward reply"),
           MakeMessageKind<AnswerRequest>("answer"),
           MakeMessageKind<CancelRequest>("cancel"),
+          MakeMessageKind<CancelledJobs>("cancelled_jobs"),
           MakeMessageKind<HandOver>("hand_over"),
           MakeMessageKind<Acknowledgement>("acknowledgement")};
 }
