Refuse jobs that are handed on by a newer configuration

Cause: short of processor time, the entry hands jobs on, and the entry that gets one finds its queue in its own configuration, however old: it was cut off from the store.

Change: a job that is handed on states the version by which its queue was found; a receiver with an older one refuses it as not run, and the sender places it.

Test JobApiTest.HandedOnJobOfANewerConfigurationIsRefusedAsNotRun: without the check the job is taken by the old routes, or answered 404.

--- a/src/entry/relay_headers.h
+++ b/src/entry/relay_headers.h
@@ -15,6 +15,10 @@
 /// Of a request: on the receiver's clock, the time from which on it must not be accepted.
 inline constexpr const char* kAcceptUntilHeader = "x-quetzalvale-accept-until-us";
 
+/// Of a request: the version of the configuration by which its sender found the route. An entry
+/// with an older one must not decide in its place.
+inline constexpr const char* kRouteVersionHeader = "x-quetzalvale-route-version";
+
 /// How long after it was sent a request is accepted. Longer than it takes to a busy peer, and much
 /// shorter than the time after which a caller submits again.
 inline constexpr Milliseconds kRelayAcceptWindow{250};
--- a/tests/adapter/job_api_test.cc
+++ b/tests/adapter/job_api_test.cc
@@ -20,7 +20,7 @@
  protected:
   JobApiTest() : runtime(MakeOptions()), api(this->runtime, 1) {
     EXPECT_EQ(this->runtime.Start({}), "");
-    this->api.SetRoutes({MakeRoute()});
+    this->api.SetRoutes(1, {MakeRoute()});
   }
 
   static QueueRoute MakeRoute() {
@@ -73,11 +73,13 @@
     return request;
   }
 
-  /// Submits a job that another entry handed on with this limit.
-  HttpResponse SubmitHandedOn(std::optional<Time> accept_until) {
+  /// Submits a job that another entry handed on with this limit, and by this version of the
+  /// configuration.
+  HttpResponse SubmitHandedOn(std::optional<Time> accept_until, const std::string& version = "1") {
     HttpRequest request = MakeRequest("POST");
     request.body = R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":100,"est_ms":50}]})";
-    request.headers = {{kRelayedHeader, "1"}, {"x-deadline-ms", "1150"}};
+    request.headers = {
+        {kRelayedHeader, "1"}, {"x-deadline-ms", "1150"}, {kRouteVersionHeader, version}};
     if (accept_until) {
       request.headers[kAcceptUntilHeader] = FormatHeaderTime(*accept_until);
     }
@@ -107,6 +109,25 @@
   EXPECT_NE(response.body.find(kTooLate), std::string::npos) << response.body;
 }
 
+// An entry with the newest configuration handed jobs on to one that was cut off from the store, and
+// they ran on the service of the older one (review/11).
+TEST_F(JobApiTest, HandedOnJobOfANewerConfigurationIsRefusedAsNotRun) {
+  const auto submit = [this](const std::string& version) {
+    return this->SubmitHandedOn(this->runtime.Time().Now() + kRelayAcceptWindow, version);
+  };
+  this->api.SetRoutes(7, {MakeRoute()});
+  const HttpResponse newer = submit("8");
+  EXPECT_EQ(newer.status, 503);
+  EXPECT_NE(newer.body.find("older configuration"), std::string::npos) << newer.body;
+  for (const char* version : {"7", "6", "0", "", "x"}) {
+    EXPECT_EQ(submit(version).body.find("older configuration"), std::string::npos) << version;
+  }
+  // The route that the sender has is not known here yet: only 503 says that the job did not run.
+  this->api.SetRoutes(7, {});
+  EXPECT_EQ(submit("8").status, 503);
+  EXPECT_EQ(submit("7").status, 404);
+}
+
 TEST_F(JobApiTest, HandedOnJobWithoutALimitIsRefusedAsNotRun) {
   EXPECT_EQ(this->SubmitHandedOn(std::nullopt).status, 503);
 }
@@ -149,7 +170,7 @@
   for (const bool dropped : {false, true}) {
     SCOPED_TRACE(dropped);
     QueueRoute moved = MakeRoute();
-    this->api.SetRoutes({moved});
+    this->api.SetRoutes(1, {moved});
     HttpRequest request = MakeRequest("POST");
     request.body = R"({"spec":"x","best_effort":true,"steps":[{"count":1,"cpu":100,"est_ms":50}]})";
     request.headers = {{"x-deadline-ms", "20000"}};
@@ -159,7 +180,7 @@
     request.target = "/jobs/00000000000000b" + std::to_string(request.exchange);
     this->api.Handle(request, [&](HttpResponse result) { answered.set_value(result); });
     moved.service = "other";
-    this->api.SetRoutes(dropped ? std::vector<QueueRoute>{} : std::vector<QueueRoute>{moved});
+    this->api.SetRoutes(2, dropped ? std::vector<QueueRoute>{} : std::vector<QueueRoute>{moved});
     HttpRequest cancellation = MakeRequest("DELETE");
     cancellation.target = request.target;
     EXPECT_EQ(this->Handle(cancellation).status, 200);
