--- a/tests/adapter/worker_endpoint_test.cc
+++ b/tests/adapter/worker_endpoint_test.cc
@@ -110,6 +110,8 @@
   std::atomic<std::int64_t> highest_acknowledged{0};
   std::atomic<std::int64_t> longest_deadline{0};
   std::atomic<int> polls{0};
+  /// How old the clock is that the responses tell.
+  std::atomic<std::int64_t> clock_delay_ms{0};
 
  private:
   void Listen() {
@@ -156,7 +158,9 @@
   }
 
   /// Returns the beginning of a response body, with the worker's clock.
-  static std::string ClockField() { return R"({"clock_ms":)" + std::to_string(ClockMs()); }
+  std::string ClockField() const {
+    return R"({"clock_ms":)" + std::to_string(ClockMs() - this->clock_delay_ms);
+  }
 
   HttpResponse Handle(const HttpRequest& request) {
     // Limits the rate of polls.
@@ -481,6 +485,19 @@
   ExpectLost(this->NextOfTask());
 }
 
+// A response that took long made the worker's clock seem to be behind, and the lease end that was
+// requested next lay before that of a start sent earlier. A start in doubt then counted as not run
+// while the worker could still carry it out.
+TEST_F(WorkerEndpointTest, DelayedResponseDoesNotBringTheLeaseEndForward) {
+  this->Connect();
+  this->WaitForPolls();
+  const std::int64_t requested = this->worker.lease_end;
+  ASSERT_GT(requested, 0);
+  this->worker.clock_delay_ms = 300;
+  this->WaitForPolls();
+  EXPECT_GE(this->worker.lease_end, requested);
+}
+
 // The same for a run that the worker had confirmed.
 TEST_F(WorkerEndpointTest, RunsEndWithTheirIncarnation) {
   this->Connect();
