--- a/src/core/entry/job_table.h
+++ b/src/core/entry/job_table.h
@@ -159,7 +159,7 @@
   Job* Find(std::uint64_t id);
   const Job* Find(std::uint64_t id) const;
   Job* Find(const Ticket& ticket);
-  /// Returns the service's repeatable job with this name, or nullptr.
+  /// Returns the repeatable job with this name, or nullptr.
   Job* FindNamed(const std::string& name);
   /// Returns the repeatable job whose answer the caller's request waits for, or nullptr.
   Job* FindByRequest(RequestId request);
