--- a/tests/core/repeatable_jobs_test.cc
+++ b/tests/core/repeatable_jobs_test.cc
@@ -2,10 +2,10 @@
 // to submit and run again.
 #include <gtest/gtest.h>
 
-#include <algorithm>
 #include <utility>
 
 #include "core/entry/entry_core.h"
+#include "tests/support/select_actions.h"
 
 namespace quetzalvale {
 namespace {
@@ -59,16 +59,22 @@
     this->Send(AgentAnnounced{99, announce});
   }
 
+  static Submission MakeSubmission(std::size_t tasks) {
+    Submission submission;
+    submission.service = "s";
+    submission.name = "00000000000000a1";
+    submission.kind = "k";
+    submission.tasks.resize(tasks);
+    return submission;
+  }
+
   void Submit(RequestId request, const std::string& data_rack = "",
               std::optional<Time> received = std::nullopt,
               const std::string& name = "00000000000000a1") {
-    Submission submission;
+    Submission submission = MakeSubmission(1);
     submission.data_rack = data_rack;
     submission.received = received;
-    submission.service = "s";
     submission.name = name;
-    submission.kind = "k";
-    submission.tasks.resize(1);
     this->Send(JobSubmitted{request, submission});
   }
 
@@ -134,11 +140,7 @@
   this->Submit(2);
   EXPECT_EQ(this->Find<SendStart>(), nullptr);
   this->ReportOutcome(start, true);
-  EXPECT_EQ(std::ranges::count_if(this->actions,
-                                  [](const EntryAction& action) {
-                                    return std::holds_alternative<AnswerCaller>(action);
-                                  }),
-            2);
+  EXPECT_EQ(Select<AnswerCaller>(this->actions).size(), 2U);
 }
 
 // The runs that a worker failed or lost in a crash ejected the worker that came back at its place,
@@ -150,9 +152,8 @@
   constexpr std::uint64_t kSecond = 72;
   const auto started_tasks = [&] {
     std::size_t tasks = 0;
-    for (const EntryAction& action : this->actions) {
-      const auto* start = std::get_if<SendStart>(&action);
-      tasks += start == nullptr ? 0 : start->message.items.size();
+    for (const SendStart& start : Select<SendStart>(this->actions)) {
+      tasks += start.message.items.size();
     }
     return tasks;
   };
@@ -177,19 +178,12 @@
   this->ConfigureService("t", 4);
   this->Submit(1);
   const StartRequest start = this->AcceptLastStart();
-  Submission copy;
+  Submission copy = MakeSubmission(1);
   copy.service = "t";
-  copy.name = "00000000000000a1";
-  copy.kind = "k";
-  copy.tasks.resize(1);
   this->Send(JobSubmitted{2, copy});
   EXPECT_EQ(this->FindAnswer(), nullptr) << "the copy waits for the job in progress";
   this->ReportOutcome(start, true);
-  EXPECT_EQ(std::ranges::count_if(this->actions,
-                                  [](const EntryAction& action) {
-                                    return std::holds_alternative<AnswerCaller>(action);
-                                  }),
-            2);
+  EXPECT_EQ(Select<AnswerCaller>(this->actions).size(), 2U);
   this->Send(JobSubmitted{3, copy});
   ASSERT_NE(this->FindAnswer(), nullptr);
   EXPECT_EQ(this->FindAnswer()->status, AnswerStatus::kComplete) << "a late copy gets the answer";
@@ -202,10 +196,7 @@
   this->core = EntryCore({kEntry, "self", "dc"}, {}, {}, 1, {}, limits);
   this->Configure(3, {Kind("k", 2)});
   this->AddAgent(kAgent, "a");
-  Submission submission;
-  submission.service = "s";
-  submission.kind = "k";
-  submission.tasks.resize(1);
+  Submission submission = MakeSubmission(1);
   submission.payload_tail = std::string(4000, 'x');
   const auto submit = [&](RequestId request) {
     submission.name = "00000000000000a" + std::to_string(request);
@@ -410,12 +401,7 @@
 // A job was given up for want of agents while some of its tasks ran on the agent that was leaving.
 // The runs went on beside those of the copy that the caller submitted to another entry.
 TEST_F(RepeatableJobsTest, StopsRunsOfAJobThatIsGivenUpForWantOfAgents) {
-  Submission submission;
-  submission.service = "s";
-  submission.name = "00000000000000a1";
-  submission.kind = "k";
-  submission.tasks.resize(2);
-  this->Send(JobSubmitted{1, submission});
+  this->Send(JobSubmitted{1, MakeSubmission(2)});
   const StartRequest start = this->Find<SendStart>()->message;
   ASSERT_EQ(start.items.size(), 2U);
   StartReply reply;
